--- /dev/null
+++ b/build.rs
@@ -0,0 +1,8 @@
+//! Generates the mesh's gRPC code with a pure-Rust protobuf compiler, so that cargo alone builds it.
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    println!("cargo:rerun-if-changed=proto/mesh.proto");
+    let descriptors = protox::compile(["proto/mesh.proto"], ["proto"])?;
+    tonic_prost_build::configure().compile_fds(descriptors)?;
+    Ok(())
+}
--- /dev/null
+++ b/src/bookkeeping/autoscaler.rs
@@ -0,0 +1,381 @@
+//! Which machines to rent and which to return.
+
+use std::collections::HashMap;
+
+use super::{
+    Millis,
+    books::{Amounts, Books, Job, MachineIx, MachineState, TypeIx, ZoneIx},
+    millis,
+};
+use crate::protocol::job::Kind;
+
+/// What can be rented: a type in a zone, spot or not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Offer {
+    pub type_ix: TypeIx,
+    pub zone: ZoneIx,
+    pub spot: bool,
+}
+
+/// A rental under way.
+#[derive(Clone, Debug)]
+pub struct Rental {
+    pub offer: Offer,
+    pub count: u32,
+}
+
+/// A machine costs this long at least.
+const MIN_CHARGE: Millis = 60_000;
+/// An empty machine is kept this long: the next job may want it.
+const IDLE: Millis = 20_000;
+/// An offer that had nothing is not asked again for this long.
+const NO_CAPACITY: Millis = 20_000;
+const MAX_RENT: u32 = 50;
+
+#[derive(Default)]
+pub struct Autoscaler {
+    /// Offers that were refused, and until when they are passed over.
+    refused: HashMap<Offer, Millis>,
+    /// Service tasks that came lately: when, and what each took.
+    arrivals: Vec<(Millis, Amounts)>,
+    began: Option<Millis>,
+}
+
+/// A machine that is there, coming, or wanted.
+struct Bin {
+    offer: Offer,
+    room: Amounts,
+    fresh: bool,
+}
+
+impl Autoscaler {
+    pub fn refuse(&mut self, offer: Offer, now: Millis) {
+        self.refused.insert(offer, now + NO_CAPACITY);
+    }
+
+    /// A service came: room for the next of its kind is kept.
+    pub fn arrived(&mut self, need: Amounts, tasks: usize, now: Millis) {
+        self.arrivals
+            .extend(std::iter::repeat_n((now, need), tasks.min(64)));
+    }
+
+    /// Room that services of the near future may want before a machine could be up.
+    fn spare(&mut self, books: &Books, now: Millis) -> Vec<Amounts> {
+        const WINDOW: Millis = 120_000;
+        let began = *self.began.get_or_insert(now);
+        self.arrivals.retain(|(at, _)| at + WINDOW > now);
+        let window = now.saturating_sub(began).clamp(30_000, WINDOW) as f64 / 1000.0;
+        let boot_s = books
+            .types
+            .iter()
+            .map(|kind| kind.boot_s)
+            .fold(f64::INFINITY, f64::min);
+        if self.arrivals.is_empty() || !boot_s.is_finite() {
+            return Vec::new();
+        }
+        let expected = self.arrivals.len() as f64 / window * boot_s * 1.5;
+        let count = expected.ceil() as usize;
+        let mut needs: Vec<Amounts> = self.arrivals.iter().map(|(_, need)| *need).collect();
+        needs.sort_by(|a, b| b.cpus.total_cmp(&a.cpus));
+        needs.truncate(count.min(64));
+        needs
+    }
+
+    /// What to rent now, given what is under way.
+    pub fn plan(
+        &mut self,
+        books: &Books,
+        under_way: &[Rental],
+        now: Millis,
+    ) -> (Vec<Rental>, Vec<MachineIx>) {
+        self.refused.retain(|_, until| *until > now);
+        let mut bins: Vec<Bin> = Vec::new();
+        for machine in &books.machines {
+            let room = match machine.state {
+                MachineState::Booting if !machine.draining => books.room(machine),
+                MachineState::Up if machine.usable() => books.room(machine),
+                _ => continue,
+            };
+            bins.push(Bin {
+                offer: Offer {
+                    type_ix: machine.type_ix,
+                    zone: machine.zone,
+                    spot: machine.spot,
+                },
+                room,
+                fresh: false,
+            });
+        }
+        for rental in under_way {
+            for _ in 0..rental.count {
+                bins.push(Bin {
+                    offer: rental.offer,
+                    room: whole(books, rental.offer.type_ix),
+                    fresh: false,
+                });
+            }
+        }
+        for team in &books.teams {
+            let mut budget = team.booked;
+            for &(_, _, job) in &team.queue {
+                let job = books.job(job);
+                let mut slots = job.waiting.len();
+                if job.kind == Kind::Array {
+                    slots = slots.min(self.slots_for(books, job));
+                }
+                let mut by_zone = job.by_zone.clone();
+                for _ in 0..slots {
+                    let mut asked = budget;
+                    asked.add(&job.need);
+                    if (team.limit.cpus > 0.0 && asked.cpus > team.limit.cpus + 1e-6)
+                        || (team.limit.gpus > 0.0 && asked.gpus > team.limit.gpus + 1e-6)
+                    {
+                        break;
+                    }
+                    budget = asked;
+                    let Some(zone) = self.fit(books, job, &by_zone, &mut bins) else {
+                        break;
+                    };
+                    by_zone[zone.at()] += 1;
+                }
+            }
+        }
+        let spare = self.spare(books, now);
+        let mut missing = Vec::new();
+        for need in &spare {
+            match bins
+                .iter_mut()
+                .find(|bin| !bin.offer.spot && need.fits_in(&bin.room))
+            {
+                Some(bin) => bin.room.sub(need),
+                None => missing.push(*need),
+            }
+        }
+        for need in missing {
+            if let Some(bin) = bins
+                .iter_mut()
+                .find(|bin| !bin.offer.spot && need.fits_in(&bin.room))
+            {
+                bin.room.sub(&need);
+            } else if let Some(offer) =
+                self.cheapest(books, &bins, &need, u64::MAX, 1, false, |_| true)
+            {
+                let mut room = whole(books, offer.type_ix);
+                room.sub(&need);
+                bins.push(Bin {
+                    offer,
+                    room,
+                    fresh: true,
+                });
+            }
+        }
+        let mut wanted: HashMap<Offer, u32> = HashMap::new();
+        for bin in bins.iter().filter(|bin| bin.fresh) {
+            *wanted.entry(bin.offer).or_default() += 1;
+        }
+        let mut rentals: Vec<Rental> = wanted
+            .into_iter()
+            .map(|(offer, count)| Rental {
+                offer,
+                count: count.min(MAX_RENT),
+            })
+            .collect();
+        rentals.sort_by_key(|rental| rental.offer);
+        let returns = if rentals.is_empty() {
+            self.returns(books, &spare, now)
+        } else {
+            Vec::new()
+        };
+        (rentals, returns)
+    }
+
+    /// How many of an array's waiting tasks are worth a machine: those that the running ones will
+    /// not have made room for by the time it is up.
+    fn slots_for(&self, books: &Books, job: &Job) -> usize {
+        let boot_s = books
+            .types
+            .iter()
+            .map(|kind| kind.boot_s)
+            .fold(f64::INFINITY, f64::min)
+            .clamp(10.0, 600.0);
+        let waiting = job.waiting.len() as f64;
+        (waiting * (job.estimate_s / boot_s).min(1.0)).ceil() as usize
+    }
+
+    /// Puts a task into a bin, a new one if need be; the zone it went to.
+    fn fit(
+        &self,
+        books: &Books,
+        job: &Job,
+        by_zone: &[u32],
+        bins: &mut Vec<Bin>,
+    ) -> Option<ZoneIx> {
+        let half = job.tasks.len().div_ceil(2) as u32;
+        let zone_ok = |zone: ZoneIx| {
+            job.zone.is_none_or(|only| only == zone)
+                && (!job.spread || by_zone[zone.at()] < half)
+                && (!job.one_zone
+                    || by_zone
+                        .iter()
+                        .enumerate()
+                        .all(|(other, &count)| count == 0 || other == zone.at()))
+        };
+        if let Some(bin) = bins.iter_mut().find(|bin| {
+            (!bin.offer.spot || job.spot)
+                && job.allows_type(bin.offer.type_ix)
+                && zone_ok(bin.offer.zone)
+                && job.need.fits_in(&bin.room)
+        }) {
+            bin.room.sub(&job.need);
+            return Some(bin.offer.zone);
+        }
+        let offer = self.cheapest(
+            books,
+            bins,
+            &job.need,
+            job.types,
+            job.waiting.len(),
+            job.spot,
+            zone_ok,
+        )?;
+        let mut room = whole(books, offer.type_ix);
+        room.sub(&job.need);
+        bins.push(Bin {
+            offer,
+            room,
+            fresh: true,
+        });
+        Some(offer.zone)
+    }
+
+    /// The offer with the least price for each task that it would hold; among equals the zone
+    /// with the fewest machines.
+    #[allow(clippy::too_many_arguments)]
+    fn cheapest(
+        &self,
+        books: &Books,
+        bins: &[Bin],
+        need: &Amounts,
+        types: u64,
+        tasks: usize,
+        spot_allowed: bool,
+        zone_ok: impl Fn(ZoneIx) -> bool,
+    ) -> Option<Offer> {
+        let mut best: Option<(f64, usize, Offer)> = None;
+        for (index, kind) in books.types.iter().enumerate() {
+            let type_ix = TypeIx(index as u32);
+            let room = whole(books, type_ix);
+            if types & (1 << index) == 0 || !need.fits_in(&room) {
+                continue;
+            }
+            let holds = [
+                room.cpus / need.cpus,
+                room.ram_gb / need.ram_gb,
+                if need.gpus > 0.0 {
+                    room.gpus / need.gpus
+                } else {
+                    f64::INFINITY
+                },
+            ]
+            .into_iter()
+            .fold(f64::INFINITY, f64::min)
+            .floor()
+            .max(1.0);
+            let used = holds.min(tasks.max(1) as f64);
+            for name in &kind.zones {
+                let Some(zone) = books.zones.get(name).map(ZoneIx) else {
+                    continue;
+                };
+                if !zone_ok(zone) {
+                    continue;
+                }
+                for spot in [false, true] {
+                    let offer = Offer {
+                        type_ix,
+                        zone,
+                        spot,
+                    };
+                    if (spot && !spot_allowed) || self.refused.contains_key(&offer) {
+                        continue;
+                    }
+                    let price = match kind.spot_price {
+                        Some(price) if spot => price,
+                        _ if spot => continue,
+                        _ => kind.price,
+                    };
+                    let crowd = bins.iter().filter(|bin| bin.offer.zone == zone).count();
+                    let cost = price / used;
+                    if best.is_none_or(|(least, few, _)| {
+                        cost < least - 1e-9 || (cost < least + 1e-9 && crowd < few)
+                    }) {
+                        best = Some((cost, crowd, offer));
+                    }
+                }
+            }
+        }
+        best.map(|(.., offer)| offer)
+    }
+
+    /// Machines that have stood empty long enough and are not needed as spare room.
+    fn returns(&self, books: &Books, spare: &[Amounts], now: Millis) -> Vec<MachineIx> {
+        let mut returns: Vec<MachineIx> = Vec::new();
+        let mut empty: Vec<(bool, Millis, MachineIx)> = books
+            .machines
+            .iter()
+            .enumerate()
+            .filter(|(_, machine)| {
+                machine.state == MachineState::Up
+                    && machine.attempts.is_empty()
+                    && (machine.draining
+                        || (machine.idle_since + IDLE <= now
+                            && machine.rented_at + MIN_CHARGE <= now))
+            })
+            .map(|(index, machine)| {
+                let boot = millis(books.types[machine.type_ix.at()].boot_s);
+                (
+                    !machine.draining,
+                    machine.idle_since + boot,
+                    MachineIx(index as u32),
+                )
+            })
+            .collect();
+        empty.sort();
+        for (.., index) in empty {
+            let machine = books.machine(index);
+            let mut rooms: Vec<Amounts> = books
+                .machines
+                .iter()
+                .enumerate()
+                .filter(|(other, each)| {
+                    *other != index.at()
+                        && each.usable()
+                        && !each.spot
+                        && !returns.contains(&MachineIx(*other as u32))
+                })
+                .map(|(_, each)| books.room(each))
+                .collect();
+            let covered = machine.spot
+                || machine.draining
+                || spare.iter().all(|need| {
+                    rooms
+                        .iter_mut()
+                        .find(|room| need.fits_in(room))
+                        .map(|room| room.sub(need))
+                        .is_some()
+                });
+            if covered {
+                returns.push(index);
+            }
+        }
+        returns
+    }
+}
+
+fn whole(books: &Books, type_ix: TypeIx) -> Amounts {
+    let kind = &books.types[type_ix.at()];
+    Amounts {
+        cpus: kind.cpus,
+        gpus: kind.gpus,
+        ram_gb: kind.ram_gb,
+    }
+}
--- /dev/null
+++ b/src/bookkeeping/books.rs
@@ -0,0 +1,764 @@
+//! The books: teams, jobs, tasks, machines and the attempts that bind them.
+//!
+//! An attempt that was ever sent to a machine counts as running (for limits, spread and the
+//! machine's room) until it is *known* to be gone: a newer report denies it and no start of it can
+//! still be on its way, or the machine's lease has surely run out, or the cloud deleted the machine.
+
+use std::collections::{BTreeSet, HashMap, VecDeque};
+
+use super::Millis;
+use crate::{
+    config::Settings,
+    protocol::{
+        cloud::MachineType,
+        ids::{JobId, TaskId},
+        job::{Kind, Priority, Submission},
+        worker::Cause,
+    },
+};
+
+macro_rules! index {
+    ($($name:ident),*) => {$(
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+        pub struct $name(pub u32);
+        impl $name {
+            pub fn at(self) -> usize {
+                self.0 as usize
+            }
+        }
+    )*};
+}
+
+index!(TeamIx, JobIx, MachineIx, TypeIx, ZoneIx, ImageIx, ClassIx);
+
+/// Names and their dense indices.
+#[derive(Default)]
+pub struct Names {
+    by_name: HashMap<String, u32>,
+}
+
+impl Names {
+    pub fn index(&mut self, name: &str) -> u32 {
+        if let Some(&index) = self.by_name.get(name) {
+            return index;
+        }
+        let index = self.by_name.len() as u32;
+        self.by_name.insert(name.to_owned(), index);
+        index
+    }
+
+    pub fn get(&self, name: &str) -> Option<u32> {
+        self.by_name.get(name).copied()
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Amounts {
+    pub cpus: f64,
+    pub gpus: f64,
+    pub ram_gb: f64,
+}
+
+/// Sums of decimal amounts may miss a whole by a rounding error.
+const EPSILON: f64 = 1e-6;
+
+impl Amounts {
+    pub fn fits_in(&self, room: &Amounts) -> bool {
+        self.cpus <= room.cpus + EPSILON
+            && self.gpus <= room.gpus + EPSILON
+            && self.ram_gb <= room.ram_gb + EPSILON
+    }
+
+    pub fn add(&mut self, other: &Amounts) {
+        self.cpus += other.cpus;
+        self.gpus += other.gpus;
+        self.ram_gb += other.ram_gb;
+    }
+
+    pub fn sub(&mut self, other: &Amounts) {
+        self.cpus -= other.cpus;
+        self.gpus -= other.gpus;
+        self.ram_gb -= other.ram_gb;
+    }
+}
+
+pub struct Team {
+    pub name: String,
+    pub guarantee: Amounts,
+    /// 0: no limit.
+    pub limit: Amounts,
+    pub booked: Amounts,
+    /// Jobs with waiting tasks, the most urgent and oldest first.
+    pub queue: BTreeSet<(Priority, u64, JobIx)>,
+}
+
+impl Team {
+    /// Whether the team may have `more` on top of what is booked.
+    pub fn allows(&self, more: &Amounts) -> bool {
+        let within = |limit: f64, booked: f64, more: f64| {
+            limit <= 0.0 || more <= 0.0 || booked + more <= limit + EPSILON
+        };
+        within(self.limit.cpus, self.booked.cpus, more.cpus)
+            && within(self.limit.gpus, self.booked.gpus, more.gpus)
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TaskStatus {
+    Waiting,
+    Active(MachineIx),
+    Done,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Task {
+    pub status: TaskStatus,
+    /// The number of the latest attempt; 0: never placed.
+    pub attempt: u32,
+}
+
+/// How a stretch of a job's tasks stands with the store.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Chunk {
+    /// The key's version; 0: not in the store.
+    pub version: u64,
+    /// Counts changes in memory.
+    pub changed: u64,
+    /// The value of `changed` that the store surely holds.
+    pub stored: u64,
+    pub in_flight: bool,
+}
+
+pub struct Job {
+    pub id: JobId,
+    pub team: TeamIx,
+    pub class: ClassIx,
+    pub kind: Kind,
+    pub priority: Priority,
+    /// When it was submitted, by the accepting node's time of day.
+    pub submitted_ms: u64,
+    /// When this node first heard of it.
+    pub seen_at: Millis,
+    pub need: Amounts,
+    pub types: u64,
+    pub zone: Option<ZoneIx>,
+    pub one_zone: bool,
+    pub spread: bool,
+    pub spot: bool,
+    pub image: ImageIx,
+    pub image_gb: f64,
+    pub estimate_s: f64,
+    pub checkpoint_s: f64,
+    pub save_s: f64,
+    pub deadline_s: Option<f64>,
+    pub tasks: Vec<Task>,
+    pub chunks: Vec<Chunk>,
+    pub waiting: BTreeSet<u32>,
+    pub done: u32,
+    pub running: u32,
+    /// Attempts that may be on a machine, by zone.
+    pub by_zone: Vec<u32>,
+    pub closed: bool,
+    pub finishing: bool,
+    /// Backing off after failures: nothing of the job is placed before.
+    pub not_before: Millis,
+    pub errors: u32,
+    /// Machines on which it failed lately.
+    pub failed_on: VecDeque<MachineIx>,
+}
+
+impl Job {
+    pub fn task_id(&self, index: u32) -> TaskId {
+        TaskId {
+            job: self.id,
+            index,
+        }
+    }
+
+    pub fn complete(&self) -> bool {
+        self.kind == Kind::Array && self.done as usize == self.tasks.len()
+    }
+
+    /// Whether a further task may be in `zone`, given the others.
+    pub fn allows_zone(&self, zone: ZoneIx) -> bool {
+        if self.zone.is_some_and(|only| only != zone) {
+            return false;
+        }
+        if self.one_zone
+            && self
+                .by_zone
+                .iter()
+                .enumerate()
+                .any(|(other, &count)| count > 0 && other != zone.at())
+        {
+            return false;
+        }
+        !self.spread || (self.by_zone[zone.at()] as usize) < self.tasks.len().div_ceil(2)
+    }
+
+    pub fn allows_type(&self, index: TypeIx) -> bool {
+        self.types & (1 << index.0) != 0
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// Placed; no report has shown it yet.
+    Placed,
+    Fetching,
+    Running,
+    Saving,
+    Ended,
+}
+
+/// One try at running a task, on one machine.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    pub job: JobIx,
+    pub task: u32,
+    pub attempt: u32,
+    pub phase: Phase,
+    pub cause: Option<Cause>,
+    pub placed_at: Millis,
+    pub running_since: Option<Millis>,
+    /// The change of the task's chunk that must be stored before a start (or a reap) is sent.
+    pub needs: u64,
+    /// A start was sent, by this leader or perhaps by an earlier one.
+    pub sent: bool,
+    /// A direct start is on its way.
+    pub outstanding: bool,
+    /// The check-in whose answer carried a start.
+    pub answered_at: Option<u64>,
+    /// A start may run late until the worker has reported this token.
+    pub fence: u64,
+    /// Stop it, giving it this long to save.
+    pub stop: Option<f64>,
+    /// The stop went out directly.
+    pub stop_sent: bool,
+    /// Ended, and its task was dealt with.
+    pub settled: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MachineState {
+    /// Rented, not heard of.
+    Booting,
+    /// Reports.
+    Up,
+    /// Its lease has surely run out without a word.
+    Lost,
+    /// Its deletion is under way.
+    Deleting,
+    /// Deleted.
+    Gone,
+}
+
+pub struct Machine {
+    pub name: String,
+    pub addr: Option<String>,
+    pub type_ix: TypeIx,
+    pub zone: ZoneIx,
+    pub spot: bool,
+    pub state: MachineState,
+    /// The worker's session; 0: not known.
+    pub session: u64,
+    pub seq: u64,
+    pub token: u64,
+    /// Fresh check-ins received.
+    pub checkins: u64,
+    pub heard_at: Option<Millis>,
+    /// When its worker's lease, as far as we may have renewed it, surely has run out.
+    pub lease_until: Millis,
+    pub recall_at: Option<Millis>,
+    pub known_since: Millis,
+    /// When the rental began, by our clock; negative times are cut off.
+    pub rented_at: Millis,
+    pub listed: bool,
+    pub absent: u32,
+    pub listed_running: Option<Millis>,
+    pub listed_failed: bool,
+    pub attempts: Vec<Attempt>,
+    pub used: Amounts,
+    /// Images on its disk, the latest used last.
+    pub images: Vec<(ImageIx, f64)>,
+    pub idle_since: Millis,
+    /// A direct command is under way.
+    pub busy: bool,
+    pub draining: bool,
+    /// Jobs that failed here since one last succeeded.
+    pub failures: Vec<JobId>,
+    pub avoid_until: Millis,
+}
+
+impl Machine {
+    pub fn holds(&self, job: JobIx, task: u32) -> bool {
+        self.attempts.iter().any(|a| a.job == job && a.task == task)
+    }
+
+    pub fn has_image(&self, image: ImageIx) -> bool {
+        self.images.iter().any(|(held, _)| *held == image)
+    }
+
+    pub fn usable(&self) -> bool {
+        self.state == MachineState::Up && !self.draining && self.recall_at.is_none()
+    }
+
+    /// Whether a start of this attempt may still reach the worker, whatever its reports say.
+    pub fn start_in_flight(&self, attempt: &Attempt) -> bool {
+        attempt.outstanding
+            || attempt.answered_at == Some(self.checkins)
+            || attempt.fence > self.token
+    }
+
+    /// Nothing runs here or may yet.
+    pub fn idle(&self) -> bool {
+        self.attempts.iter().all(|a| a.phase == Phase::Ended)
+    }
+}
+
+pub struct Books {
+    pub teams: Vec<Team>,
+    pub team_names: Names,
+    pub zones: Names,
+    pub zone_names: Vec<String>,
+    pub images: Names,
+    pub classes: Names,
+    pub types: Vec<MachineType>,
+    pub type_names: Names,
+    pub jobs: Vec<Job>,
+    pub free_jobs: Vec<JobIx>,
+    pub job_index: HashMap<JobId, JobIx>,
+    pub machines: Vec<Machine>,
+    pub machine_index: HashMap<String, MachineIx>,
+    pub chunk_len: u32,
+    /// Chunks with changes that the store does not hold.
+    pub dirty: BTreeSet<(JobIx, u32)>,
+    /// Jobs whose last task is done, to be recorded as done.
+    pub complete: BTreeSet<JobIx>,
+    /// Set whenever a scheduling round could find something new to do.
+    pub changed: bool,
+}
+
+impl Books {
+    pub fn new(settings: &Settings, types: &[MachineType]) -> Self {
+        let mut team_names = Names::default();
+        let teams = settings
+            .teams
+            .iter()
+            .map(|team| {
+                team_names.index(&team.name);
+                Team {
+                    name: team.name.clone(),
+                    guarantee: Amounts {
+                        cpus: team.cpus,
+                        gpus: team.gpus,
+                        ram_gb: 0.0,
+                    },
+                    limit: Amounts {
+                        cpus: team.cpus_max,
+                        gpus: team.gpus_max,
+                        ram_gb: 0.0,
+                    },
+                    booked: Amounts::default(),
+                    queue: BTreeSet::new(),
+                }
+            })
+            .collect();
+        let mut books = Books {
+            teams,
+            team_names,
+            zones: Names::default(),
+            zone_names: Vec::new(),
+            images: Names::default(),
+            classes: Names::default(),
+            types: Vec::new(),
+            type_names: Names::default(),
+            jobs: Vec::new(),
+            free_jobs: Vec::new(),
+            job_index: HashMap::new(),
+            machines: Vec::new(),
+            machine_index: HashMap::new(),
+            chunk_len: super::store::chunk_len(settings.state.value_kb),
+            dirty: BTreeSet::new(),
+            complete: BTreeSet::new(),
+            changed: true,
+        };
+        for zone in &settings.zones {
+            books.zone(zone);
+        }
+        books.set_types(types);
+        books
+    }
+
+    /// Whether GPUs are what teams share; CPUs are where there are none.
+    pub fn by_gpus(&self) -> bool {
+        self.types.iter().any(|each| each.gpus > 0.0)
+    }
+
+    pub fn units(&self, amounts: &Amounts) -> f64 {
+        if self.by_gpus() {
+            amounts.gpus
+        } else {
+            amounts.cpus
+        }
+    }
+
+    pub fn set_types(&mut self, types: &[MachineType]) {
+        for each in types {
+            for zone in &each.zones {
+                self.zone(zone);
+            }
+            let index = self.type_names.index(&each.name) as usize;
+            if index < self.types.len() {
+                self.types[index] = each.clone();
+            } else {
+                self.types.push(each.clone());
+            }
+        }
+        self.changed = true;
+    }
+
+    pub fn zone(&mut self, name: &str) -> ZoneIx {
+        let index = self.zones.index(name);
+        if index as usize == self.zone_names.len() {
+            self.zone_names.push(name.to_owned());
+            for job in &mut self.jobs {
+                job.by_zone.resize(self.zone_names.len(), 0);
+            }
+        }
+        ZoneIx(index)
+    }
+
+    pub fn job(&self, index: JobIx) -> &Job {
+        &self.jobs[index.at()]
+    }
+
+    pub fn machine(&self, index: MachineIx) -> &Machine {
+        &self.machines[index.at()]
+    }
+
+    /// Enters an unfinished job. `None`: its team is unknown here.
+    pub fn add_job(&mut self, spec: &Submission, submitted_ms: u64, now: Millis) -> Option<JobIx> {
+        if let Some(&known) = self.job_index.get(&spec.id) {
+            return Some(known);
+        }
+        let team = TeamIx(self.team_names.get(&spec.team)?);
+        let types = match &spec.types {
+            None => u64::MAX,
+            Some(names) => names
+                .iter()
+                .filter_map(|name| self.type_names.get(name))
+                .fold(0, |mask, index| mask | 1 << index),
+        };
+        let zone = spec.zone.as_deref().map(|name| self.zone(name));
+        let count = spec.tasks;
+        let job = Job {
+            id: spec.id,
+            team,
+            class: ClassIx(self.classes.index(&spec.class)),
+            kind: spec.kind,
+            priority: spec.priority,
+            submitted_ms,
+            seen_at: now,
+            need: Amounts {
+                cpus: spec.cpus,
+                gpus: spec.gpus,
+                ram_gb: spec.ram_gb,
+            },
+            types,
+            zone,
+            one_zone: spec.one_zone,
+            spread: spec.spread,
+            spot: spec.spot,
+            image: ImageIx(self.images.index(&spec.image)),
+            image_gb: spec.image_gb,
+            estimate_s: spec.estimate_s,
+            checkpoint_s: spec.checkpoint_s,
+            save_s: spec.save_s,
+            deadline_s: spec.deadline_s,
+            tasks: vec![
+                Task {
+                    status: TaskStatus::Waiting,
+                    attempt: 0,
+                };
+                count as usize
+            ],
+            chunks: vec![Chunk::default(); count.div_ceil(self.chunk_len) as usize],
+            waiting: (0..count).collect(),
+            done: 0,
+            running: 0,
+            by_zone: vec![0; self.zone_names.len()],
+            closed: false,
+            finishing: false,
+            not_before: 0,
+            errors: 0,
+            failed_on: VecDeque::new(),
+        };
+        let key = (job.priority, job.submitted_ms);
+        let index = match self.free_jobs.pop() {
+            Some(index) => {
+                self.jobs[index.at()] = job;
+                index
+            }
+            None => {
+                self.jobs.push(job);
+                JobIx(self.jobs.len() as u32 - 1)
+            }
+        };
+        self.job_index.insert(spec.id, index);
+        self.teams[team.at()].queue.insert((key.0, key.1, index));
+        self.changed = true;
+        Some(index)
+    }
+
+    /// Enters a machine, or finds it.
+    pub fn add_machine(
+        &mut self,
+        name: &str,
+        type_ix: TypeIx,
+        zone: ZoneIx,
+        spot: bool,
+        now: Millis,
+    ) -> MachineIx {
+        if let Some(&known) = self.machine_index.get(name) {
+            return known;
+        }
+        let index = MachineIx(self.machines.len() as u32);
+        self.machines.push(Machine {
+            name: name.to_owned(),
+            addr: None,
+            type_ix,
+            zone,
+            spot,
+            state: MachineState::Booting,
+            session: 0,
+            seq: 0,
+            token: 0,
+            checkins: 0,
+            heard_at: None,
+            lease_until: 0,
+            recall_at: None,
+            known_since: now,
+            rented_at: now,
+            listed: false,
+            absent: 0,
+            listed_running: None,
+            listed_failed: false,
+            attempts: Vec::new(),
+            used: Amounts::default(),
+            images: Vec::new(),
+            idle_since: now,
+            busy: false,
+            draining: false,
+            failures: Vec::new(),
+            avoid_until: 0,
+        });
+        self.machine_index.insert(name.to_owned(), index);
+        index
+    }
+
+    pub fn room(&self, machine: &Machine) -> Amounts {
+        let whole = &self.types[machine.type_ix.at()];
+        Amounts {
+            cpus: whole.cpus - machine.used.cpus,
+            gpus: whole.gpus - machine.used.gpus,
+            ram_gb: whole.ram_gb - machine.used.ram_gb,
+        }
+    }
+
+    /// Whether the machine's type, zone and kind suit the job and its room a further task.
+    pub fn fits(&self, job: &Job, machine: &Machine) -> bool {
+        machine.usable()
+            && (!machine.spot || job.spot)
+            && job.allows_type(machine.type_ix)
+            && job.need.fits_in(&self.room(machine))
+            && job.allows_zone(machine.zone)
+    }
+
+    fn touch_chunk(&mut self, job: JobIx, task: u32) -> u64 {
+        let number = task / self.chunk_len;
+        let chunk = &mut self.jobs[job.at()].chunks[number as usize];
+        chunk.changed += 1;
+        self.dirty.insert((job, number));
+        chunk.changed
+    }
+
+    /// Books a new attempt; its start may be sent once the chunk is stored.
+    pub fn place(&mut self, job: JobIx, task: u32, on: MachineIx, now: Millis) {
+        let entry = &mut self.jobs[job.at()].tasks[task as usize];
+        debug_assert_eq!(entry.status, TaskStatus::Waiting);
+        let attempt = entry.attempt + 1;
+        let needs = self.touch_chunk(job, task);
+        self.book(
+            Attempt {
+                job,
+                task,
+                attempt,
+                phase: Phase::Placed,
+                cause: None,
+                placed_at: now,
+                running_since: None,
+                needs,
+                sent: false,
+                outstanding: false,
+                answered_at: None,
+                fence: 0,
+                stop: None,
+                stop_sent: false,
+                settled: false,
+            },
+            on,
+        );
+    }
+
+    /// Enters an attempt that may be running: its task, its team's use, its machine's room.
+    pub fn book(&mut self, attempt: Attempt, on: MachineIx) {
+        let machine = &mut self.machines[on.at()];
+        let job = &mut self.jobs[attempt.job.at()];
+        let task = &mut job.tasks[attempt.task as usize];
+        task.status = TaskStatus::Active(on);
+        task.attempt = attempt.attempt;
+        job.waiting.remove(&attempt.task);
+        job.by_zone[machine.zone.at()] += 1;
+        machine.used.add(&job.need);
+        let team = &mut self.teams[job.team.at()];
+        team.booked.add(&job.need);
+        if job.waiting.is_empty() {
+            team.queue
+                .remove(&(job.priority, job.submitted_ms, attempt.job));
+        }
+        machine.attempts.push(attempt);
+    }
+
+    /// Takes an attempt's use off the books: it is known to run no more.
+    fn unbook(&mut self, on: MachineIx, attempt: &Attempt, now: Millis) {
+        let machine = &mut self.machines[on.at()];
+        let job = &mut self.jobs[attempt.job.at()];
+        job.by_zone[machine.zone.at()] -= 1;
+        if attempt.phase >= Phase::Running && attempt.phase < Phase::Ended {
+            job.running -= 1;
+        }
+        machine.used.sub(&job.need);
+        self.teams[job.team.at()].booked.sub(&job.need);
+        if machine.idle() {
+            machine.used = Amounts::default();
+            machine.idle_since = now;
+        }
+        self.changed = true;
+    }
+
+    /// Follows a report: the attempt is in `phase` now.
+    pub fn advance(&mut self, on: MachineIx, at: usize, phase: Phase, now: Millis) {
+        let attempt = &mut self.machines[on.at()].attempts[at];
+        let before = attempt.phase;
+        if before == phase || before == Phase::Ended {
+            return;
+        }
+        let counted = |phase| matches!(phase, Phase::Running | Phase::Saving);
+        let (job, shown) = (attempt.job, attempt.clone());
+        attempt.phase = phase;
+        if phase == Phase::Running {
+            attempt.running_since = Some(now);
+        }
+        if phase == Phase::Ended {
+            self.unbook(on, &shown, now);
+            return;
+        }
+        let entry = &mut self.jobs[job.at()];
+        if counted(phase) && !counted(before) {
+            entry.running += 1;
+            let (image, gb) = (entry.image, entry.image_gb);
+            self.keep_image(on, image, gb);
+        } else if counted(before) && !counted(phase) {
+            entry.running -= 1;
+        }
+    }
+
+    fn keep_image(&mut self, on: MachineIx, image: ImageIx, gb: f64) {
+        let machine = &mut self.machines[on.at()];
+        machine.images.retain(|(held, _)| *held != image);
+        machine.images.push((image, gb));
+        let cache = self.types[machine.type_ix.at()].cache_gb;
+        while machine.images.len() > 1
+            && machine.images.iter().map(|(_, gb)| gb).sum::<f64>() > cache
+        {
+            machine.images.remove(0);
+        }
+    }
+
+    /// Removes an attempt that is known to be gone. Its task, if this was still its attempt, waits
+    /// again.
+    pub fn drop_attempt(&mut self, on: MachineIx, at: usize, now: Millis) {
+        let attempt = self.machines[on.at()].attempts.swap_remove(at);
+        if attempt.phase != Phase::Ended {
+            self.unbook(on, &attempt, now);
+        }
+        if !attempt.settled {
+            self.requeue(attempt.job, attempt.task, attempt.attempt);
+        }
+    }
+
+    /// The task waits again, if this attempt was its latest.
+    pub fn requeue(&mut self, job: JobIx, task: u32, attempt: u32) {
+        let entry = &mut self.jobs[job.at()];
+        let state = &mut entry.tasks[task as usize];
+        if state.attempt != attempt || !matches!(state.status, TaskStatus::Active(_)) {
+            return;
+        }
+        state.status = TaskStatus::Waiting;
+        self.changed = true;
+        if entry.closed {
+            return;
+        }
+        entry.waiting.insert(task);
+        let key = (entry.priority, entry.submitted_ms, job);
+        self.teams[entry.team.at()].queue.insert(key);
+    }
+
+    /// The task has completed.
+    pub fn complete_task(&mut self, job: JobIx, task: u32) -> u64 {
+        let entry = &mut self.jobs[job.at()];
+        let state = &mut entry.tasks[task as usize];
+        if state.status != TaskStatus::Done {
+            state.status = TaskStatus::Done;
+            entry.done += 1;
+            entry.waiting.remove(&task);
+            if entry.waiting.is_empty() {
+                let key = (entry.priority, entry.submitted_ms, job);
+                self.teams[entry.team.at()].queue.remove(&key);
+            }
+            if entry.complete() {
+                self.complete.insert(job);
+            }
+        }
+        self.touch_chunk(job, task)
+    }
+
+    /// The job is over: nothing of it is placed any more, and what runs is to be stopped.
+    pub fn close_job(&mut self, index: JobIx) {
+        let job = &mut self.jobs[index.at()];
+        job.closed = true;
+        job.waiting.clear();
+        let key = (job.priority, job.submitted_ms, index);
+        self.teams[job.team.at()].queue.remove(&key);
+        self.complete.remove(&index);
+        for number in 0..job.chunks.len() as u32 {
+            self.dirty.remove(&(index, number));
+        }
+        for machine in &mut self.machines {
+            for attempt in &mut machine.attempts {
+                if attempt.job == index && attempt.phase != Phase::Ended {
+                    attempt.stop = Some(0.0);
+                    attempt.stop_sent = false;
+                }
+            }
+        }
+        self.changed = true;
+    }
+
+    /// Whether the store holds what the attempt's start or reap waits for.
+    pub fn stored(&self, attempt: &Attempt) -> bool {
+        let job = &self.jobs[attempt.job.at()];
+        job.chunks[(attempt.task / self.chunk_len) as usize].stored >= attempt.needs
+    }
+}
--- /dev/null
+++ b/src/bookkeeping/scheduler.rs
@@ -0,0 +1,379 @@
+//! Who places next, where, and who has to give way.
+//!
+//! The design is that of "Fair Scheduling for Deep Learning Workloads in Kubernetes": a heap of
+//! teams by booked units, each with its waiting tasks by priority, then age. `docs/design.md` says
+//! what was kept and what was changed.
+
+use std::{
+    cmp::Reverse,
+    collections::{BinaryHeap, HashSet},
+};
+
+use super::{
+    Millis,
+    books::{Amounts, Books, Job, JobIx, Machine, MachineIx, Phase, TeamIx},
+};
+use crate::protocol::job::{Kind, Priority};
+
+/// How many placements one round may make before others get their turn.
+const ROUND: usize = 200;
+
+/// Booked units as a heap key: thousandths, so that sums compare exactly.
+fn key(units: f64) -> i64 {
+    (units * 1000.0).round() as i64
+}
+
+/// One allocation round: pops the team with the fewest booked units, places its first task,
+/// reshuffles. A job that fits nowhere, or whose team is at its limit, sits this round out; a team
+/// without another job leaves the heap. Returns how many tasks were placed.
+pub fn round(books: &mut Books, now: Millis) -> usize {
+    let mut heap: BinaryHeap<_> = (0..books.teams.len() as u32)
+        .map(TeamIx)
+        .filter(|team| !books.teams[team.at()].queue.is_empty())
+        .map(|team| Reverse((key(books.units(&books.teams[team.at()].booked)), team)))
+        .collect();
+    let mut stuck: HashSet<JobIx> = HashSet::new();
+    let mut placed = 0;
+    while let Some(Reverse((_, team))) = heap.pop() {
+        let next = books.teams[team.at()]
+            .queue
+            .iter()
+            .map(|&(_, _, job)| job)
+            .find(|job| !stuck.contains(job));
+        let Some(job) = next else {
+            continue;
+        };
+        let entry = books.job(job);
+        let task = entry.waiting.first().copied();
+        let target = task.filter(|_| entry.not_before <= now).and_then(|task| {
+            books.teams[team.at()]
+                .allows(&entry.need)
+                .then(|| best_machine(books, job, task, now))
+                .flatten()
+                .map(|machine| (task, machine))
+        });
+        match target {
+            Some((task, machine)) => {
+                books.place(job, task, machine, now);
+                placed += 1;
+            }
+            None => {
+                stuck.insert(job);
+            }
+        }
+        if placed >= ROUND {
+            books.changed = true;
+            break;
+        }
+        let units = books.units(&books.teams[team.at()].booked);
+        heap.push(Reverse((key(units), team)));
+    }
+    placed
+}
+
+/// The machine on which the task would start soonest, then the fullest one that has room.
+fn best_machine(books: &Books, job: JobIx, task: u32, now: Millis) -> Option<MachineIx> {
+    let entry = books.job(job);
+    let mut best: Option<(f64, MachineIx)> = None;
+    for (index, machine) in books.machines.iter().enumerate() {
+        let index = MachineIx(index as u32);
+        if !books.fits(entry, machine)
+            || machine.avoid_until > now
+            || entry.failed_on.contains(&index)
+            || machine.holds(job, task)
+        {
+            continue;
+        }
+        let score = score(books, entry, machine);
+        if best.is_none_or(|(least, _)| score < least) {
+            best = Some((score, index));
+        }
+    }
+    best.map(|(_, index)| index)
+}
+
+/// Lower is better; in seconds, or what is held to be worth as much.
+fn score(books: &Books, job: &Job, machine: &Machine) -> f64 {
+    let kind = &books.types[machine.type_ix.at()];
+    let fetch_s = if machine.has_image(job.image) {
+        0.0
+    } else {
+        let shared = machine
+            .attempts
+            .iter()
+            .filter(|a| a.phase <= Phase::Fetching)
+            .any(|a| books.job(a.job).image == job.image);
+        let whole = job.image_gb / kind.fetch_gb_per_s.max(0.01);
+        if shared { whole * 0.5 } else { whole }
+    };
+    let room = books.room(machine);
+    let left = if books.by_gpus() && kind.gpus > 0.0 {
+        (room.gpus - job.need.gpus) / kind.gpus
+    } else {
+        (room.cpus - job.need.cpus) / kind.cpus.max(1.0)
+    };
+    // Ordinary machines are kept for work that may run nowhere else.
+    let borrowed = if job.spot && !machine.spot { 1.0 } else { 0.0 };
+    // Replicas of a service are spread further than they must be: a lost zone then takes fewer.
+    let crowd = if job.kind == Kind::Service {
+        0.3 * f64::from(job.by_zone[machine.zone.at()])
+    } else {
+        0.0
+    };
+    fetch_s + 0.5 * left + borrowed + crowd
+}
+
+/// What each team deserves now: its guarantee and an equal split of the rest, capped by its demand
+/// and its limit. What a cap leaves over is split again.
+pub fn deserved(books: &Books, capacity: f64) -> Vec<f64> {
+    let caps: Vec<f64> = books
+        .teams
+        .iter()
+        .map(|team| {
+            let waiting: f64 = team
+                .queue
+                .iter()
+                .map(|&(_, _, job)| {
+                    let job = books.job(job);
+                    books.units(&job.need) * job.waiting.len() as f64
+                })
+                .sum();
+            let demand = books.units(&team.booked) + waiting;
+            match books.units(&team.limit) {
+                limit if limit > 0.0 => demand.min(limit),
+                _ => demand,
+            }
+        })
+        .collect();
+    let mut shares: Vec<f64> = books
+        .teams
+        .iter()
+        .zip(&caps)
+        .map(|(team, cap)| books.units(&team.guarantee).min(*cap))
+        .collect();
+    let mut rest = capacity - shares.iter().sum::<f64>();
+    while rest > 1e-6 {
+        let open: Vec<usize> = (0..shares.len())
+            .filter(|&team| shares[team] + 1e-6 < caps[team])
+            .collect();
+        if open.is_empty() {
+            break;
+        }
+        let each = rest / open.len() as f64;
+        for team in open {
+            let gain = each.min(caps[team] - shares[team]);
+            shares[team] += gain;
+            rest -= gain;
+        }
+    }
+    shares
+}
+
+/// Why a running task has to give way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// A starved team's task takes a place beyond what the victim's team deserves.
+    Share,
+    /// A job of higher priority.
+    Priority,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Victim {
+    pub machine: MachineIx,
+    pub at: usize,
+    pub reason: Reason,
+}
+
+/// The trial fit. For each team with waiting work that fits nowhere: would it fit if the excess of
+/// over-share teams, or work of lower priority, were stopped? Only then are those tasks named.
+pub fn preempt(books: &Books, now: Millis, only_services: bool) -> Vec<Victim> {
+    let capacity: f64 = books
+        .machines
+        .iter()
+        .filter(|machine| machine.usable())
+        .map(|machine| {
+            let kind = &books.types[machine.type_ix.at()];
+            books.units(&Amounts {
+                cpus: kind.cpus,
+                gpus: kind.gpus,
+                ram_gb: kind.ram_gb,
+            })
+        })
+        .sum();
+    let deserved = deserved(books, capacity);
+    let booked: Vec<f64> = books
+        .teams
+        .iter()
+        .map(|team| books.units(&team.booked))
+        .collect();
+    let mut excess: Vec<f64> = booked
+        .iter()
+        .zip(&deserved)
+        .map(|(booked, share)| (booked - share).max(0.0))
+        .collect();
+    let mut order: Vec<usize> = (0..books.teams.len()).collect();
+    order.sort_by_key(|&team| key(booked[team]));
+    // Room on each machine, with what already has to stop counted as free.
+    let mut rooms: Vec<Amounts> = books
+        .machines
+        .iter()
+        .map(|machine| {
+            let mut room = books.room(machine);
+            for attempt in &machine.attempts {
+                if attempt.stop.is_some() && attempt.phase != Phase::Ended {
+                    room.add(&books.job(attempt.job).need);
+                }
+            }
+            room
+        })
+        .collect();
+    let mut taken: HashSet<(MachineIx, usize)> = HashSet::new();
+    let mut victims = Vec::new();
+    for team in order {
+        let mut hope = deserved[team] - booked[team];
+        let mut budget = books.teams[team].booked;
+        for &(priority, _, job) in &books.teams[team].queue {
+            let entry = books.job(job);
+            if entry.not_before > now || (only_services && entry.kind != Kind::Service) {
+                continue;
+            }
+            let units = books.units(&entry.need);
+            for _ in 0..entry.waiting.len().min(32) {
+                let mut asked = budget;
+                asked.add(&entry.need);
+                let limit = &books.teams[team].limit;
+                if (limit.cpus > 0.0 && asked.cpus > limit.cpus + 1e-6)
+                    || (limit.gpus > 0.0 && asked.gpus > limit.gpus + 1e-6)
+                {
+                    break;
+                }
+                let starved = units <= hope + 1e-6;
+                let Some((machine, chosen)) = trial(
+                    books,
+                    entry,
+                    TeamIx(team as u32),
+                    priority,
+                    starved,
+                    &rooms,
+                    &excess,
+                    &taken,
+                    now,
+                ) else {
+                    break;
+                };
+                budget = asked;
+                hope -= units;
+                let room = &mut rooms[machine.at()];
+                for victim in chosen {
+                    let attempt = &books.machine(machine).attempts[victim.at];
+                    let loser = books.job(attempt.job);
+                    room.add(&loser.need);
+                    excess[loser.team.at()] -= books.units(&loser.need);
+                    taken.insert((machine, victim.at));
+                    victims.push(victim);
+                }
+                room.sub(&entry.need);
+            }
+        }
+    }
+    victims
+}
+
+/// Work that is lost if the attempt is stopped now, in seconds of one task.
+fn lost_s(job: &Job, since: Option<Millis>, now: Millis) -> f64 {
+    let ran = since.map_or(0.0, |since| now.saturating_sub(since) as f64 / 1000.0);
+    if job.checkpoint_s > 0.0 {
+        // It saves when it is stopped.
+        job.save_s
+    } else {
+        ran
+    }
+}
+
+#[allow(clippy::too_many_arguments)]
+fn trial(
+    books: &Books,
+    job: &Job,
+    team: TeamIx,
+    priority: Priority,
+    starved: bool,
+    rooms: &[Amounts],
+    excess: &[f64],
+    taken: &HashSet<(MachineIx, usize)>,
+    now: Millis,
+) -> Option<(MachineIx, Vec<Victim>)> {
+    let mut best: Option<(f64, MachineIx, Vec<Victim>)> = None;
+    for (index, machine) in books.machines.iter().enumerate() {
+        let index = MachineIx(index as u32);
+        if !machine.usable()
+            || machine.avoid_until > now
+            || (machine.spot && !job.spot)
+            || !job.allows_type(machine.type_ix)
+            || !job.allows_zone(machine.zone)
+        {
+            continue;
+        }
+        let mut room = rooms[index.at()];
+        if job.need.fits_in(&room) {
+            // It fits without anybody giving way, or will as soon as what was stopped has ended.
+            return Some((index, Vec::new()));
+        }
+        let mut candidates: Vec<(Priority, f64, usize, Reason)> = machine
+            .attempts
+            .iter()
+            .enumerate()
+            .filter(|(at, attempt)| {
+                attempt.phase != Phase::Ended
+                    && attempt.stop.is_none()
+                    && !taken.contains(&(index, *at))
+            })
+            .filter_map(|(at, attempt)| {
+                let loser = books.job(attempt.job);
+                let over = excess[loser.team.at()] + 1e-6 >= books.units(&loser.need);
+                let reason = if loser.priority > priority {
+                    Reason::Priority
+                } else if starved && loser.team != team && over {
+                    Reason::Share
+                } else {
+                    return None;
+                };
+                let lost = lost_s(loser, attempt.running_since, now);
+                Some((loser.priority, lost, at, reason))
+            })
+            .collect();
+        candidates.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.total_cmp(&b.1)));
+        let mut left = excess.to_vec();
+        let mut chosen = Vec::new();
+        let mut cost = 0.0;
+        for (_, lost, at, reason) in candidates {
+            let loser = books.job(machine.attempts[at].job);
+            let units = books.units(&loser.need);
+            if reason == Reason::Share && left[loser.team.at()] + 1e-6 < units {
+                continue;
+            }
+            left[loser.team.at()] -= units;
+            room.add(&loser.need);
+            cost += lost + 1.0;
+            chosen.push(Victim {
+                machine: index,
+                at,
+                reason,
+            });
+            if job.need.fits_in(&room) {
+                break;
+            }
+        }
+        if !job.need.fits_in(&room) {
+            continue;
+        }
+        if !machine.has_image(job.image) {
+            let rate = books.types[machine.type_ix.at()].fetch_gb_per_s;
+            cost += job.image_gb / rate.max(0.01);
+        }
+        if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
+            best = Some((cost, index, chosen));
+        }
+    }
+    best.map(|(_, index, chosen)| (index, chosen))
+}
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,202 @@
+//! The settings file that the platform hands over, checked.
+
+use std::{collections::HashSet, fs, net::SocketAddrV4, path::Path};
+
+use serde::Deserialize;
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Config {
+    pub label: String,
+    /// The zone of this node.
+    #[serde(rename = "domain")]
+    pub zone: String,
+    pub listen: SocketAddrV4,
+    pub mesh_addr: SocketAddrV4,
+    #[serde(default)]
+    pub members: Vec<Member>,
+    pub services: Services,
+    pub settings: Settings,
+}
+
+/// Another node of this deployment.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Member {
+    pub label: String,
+    #[serde(rename = "domain")]
+    pub zone: String,
+    pub address: SocketAddrV4,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Services {
+    pub cloud: SocketAddrV4,
+    pub state: SocketAddrV4,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Settings {
+    pub zones: Vec<String>,
+    pub teams: Vec<Team>,
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
+    pub workers: Workers,
+    pub state: StateLimits,
+    pub cloud: CloudLimits,
+}
+
+/// Guarantees and limits; 0 means none.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Team {
+    pub name: String,
+    #[serde(default)]
+    pub cpus: f64,
+    #[serde(default)]
+    pub cpus_max: f64,
+    #[serde(default)]
+    pub gpus: f64,
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+/// An aim for starting or finishing.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Objective {
+    pub kind: String,
+    #[serde(default)]
+    pub class: Option<String>,
+    #[serde(default)]
+    pub within_s: Option<f64>,
+    #[serde(default)]
+    pub share: Option<f64>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Workers {
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub cancel_s: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct StateLimits {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: u32,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct CloudLimits {
+    pub rps: f64,
+    #[serde(default)]
+    pub list_lag_s: f64,
+}
+
+#[derive(Debug, thiserror::Error)]
+pub enum ConfigError {
+    #[error("cannot read {path}: {source}")]
+    Read {
+        path: String,
+        source: std::io::Error,
+    },
+    #[error("{path}: {source}")]
+    Parse {
+        path: String,
+        source: serde_json::Error,
+    },
+    #[error("{path}: {}", problems.join("; "))]
+    Invalid { path: String, problems: Vec<String> },
+}
+
+impl Config {
+    pub fn load(path: &Path) -> Result<Self, ConfigError> {
+        let shown = path.display().to_string();
+        let text = fs::read_to_string(path).map_err(|source| ConfigError::Read {
+            path: shown.clone(),
+            source,
+        })?;
+        let config: Config = serde_json::from_str(&text).map_err(|source| ConfigError::Parse {
+            path: shown.clone(),
+            source,
+        })?;
+        let problems = config.problems();
+        if problems.is_empty() {
+            Ok(config)
+        } else {
+            Err(ConfigError::Invalid {
+                path: shown,
+                problems,
+            })
+        }
+    }
+
+    /// Everything wrong with the values, each naming its field.
+    pub fn problems(&self) -> Vec<String> {
+        let mut found = Vec::new();
+        let mut labels = HashSet::from([self.label.as_str()]);
+        if self.label.is_empty() {
+            found.push("label: is empty".into());
+        }
+        for member in &self.members {
+            if member.label.is_empty() {
+                found.push("members.label: is empty".into());
+            } else if !labels.insert(&member.label) {
+                found.push(format!("members.label: {:?} occurs twice", member.label));
+            }
+        }
+        let settings = &self.settings;
+        if settings.zones.is_empty() {
+            found.push("settings.zones: names no zone".into());
+        }
+        if settings.zones.len() > 64 {
+            found.push("settings.zones: more than 64 zones".into());
+        }
+        if settings.teams.is_empty() {
+            found.push("settings.teams: names no team".into());
+        }
+        let mut teams = HashSet::new();
+        for team in &settings.teams {
+            if !teams.insert(&team.name) {
+                found.push(format!("settings.teams.name: {:?} occurs twice", team.name));
+            }
+            for (field, value) in [
+                ("cpus", team.cpus),
+                ("cpus_max", team.cpus_max),
+                ("gpus", team.gpus),
+                ("gpus_max", team.gpus_max),
+            ] {
+                if !value.is_finite() || value < 0.0 {
+                    found.push(format!(
+                        "settings.teams.{field}: {:?} has {value}, which is not an amount",
+                        team.name
+                    ));
+                }
+            }
+        }
+        let mut positive = |field: &str, value: f64| {
+            if !value.is_finite() || value <= 0.0 {
+                found.push(format!("settings.{field}: must be above 0"));
+            }
+        };
+        positive("workers.report_s", settings.workers.report_s);
+        positive("workers.lease_s", settings.workers.lease_s);
+        positive("workers.cancel_s", settings.workers.cancel_s);
+        positive("state.rps", settings.state.rps);
+        positive("state.write_rps", settings.state.write_rps);
+        positive("state.value_kb", settings.state.value_kb);
+        positive("cloud.rps", settings.cloud.rps);
+        if settings.workers.cancel_s <= settings.workers.lease_s {
+            found.push("settings.workers.cancel_s: must be above workers.lease_s".into());
+        }
+        if settings.state.value_kb < 2.0 {
+            found.push("settings.state.value_kb: must be at least 2".into());
+        }
+        if settings.state.txn_ops < 4 {
+            found.push("settings.state.txn_ops: must be at least 4".into());
+        }
+        if !settings.cloud.list_lag_s.is_finite() || settings.cloud.list_lag_s < 0.0 {
+            found.push("settings.cloud.list_lag_s: must not be negative".into());
+        }
+        found
+    }
+}
--- /dev/null
+++ b/src/coordination/fleet.rs
@@ -0,0 +1,599 @@
+//! The leader and its workers: what reports mean, which orders go out, when silence means death.
+
+use super::{Answer, AskId, Effect, Leading, Node, WorkerTag, leader::DRIFT};
+use crate::{
+    bookkeeping::{
+        Millis,
+        books::{Books, MachineIx, MachineState, Phase, TaskStatus, TypeIx},
+        millis,
+    },
+    protocol::{
+        ids::TaskId,
+        job::Kind,
+        worker::{
+            Cause, DirectOrders, Order, Orders, Redirect, Report, TaskReport, TaskState,
+            WorkerReply,
+        },
+    },
+};
+
+const DIRECT_TIMEOUT: Millis = 3000;
+/// Keeps an answer to a report within its limit.
+const MAX_ORDERS: usize = 400;
+/// How long a machine that refused or failed a task is passed over.
+const AVOID: Millis = 10_000;
+const AVOID_FULL: Millis = 2000;
+const MAX_BACKOFF: Millis = 30_000;
+/// Jobs that must have failed on a machine, with none succeeding, before it counts as sick.
+const SICK: usize = 2;
+
+impl Node {
+    pub(super) fn check_in(&mut self, id: AskId, report: Report) {
+        if self.leading.is_none() {
+            let leader = self
+                .directory
+                .leader
+                .as_ref()
+                .map(|(record, _)| record.node.clone())
+                .filter(|node| *node != self.config.label);
+            let answer = match leader {
+                Some(_) => Answer::with(421, &Redirect { leader }),
+                None => Answer::error(503, "no leader"),
+            };
+            return self.answer(id, answer);
+        }
+        if !self.may_answer() {
+            return self.answer(id, Answer::error(503, "not entitled"));
+        }
+        let orders = self.report(&report, true);
+        let answer = match orders {
+            Some(orders) => Answer::with(200, &orders),
+            None => Answer::error(503, "not now"),
+        };
+        self.answer(id, answer);
+    }
+
+    /// Takes a report in. For a check-in, returns the orders to answer with, or `None` where it
+    /// must not be answered with 200.
+    fn report(&mut self, report: &Report, checkin: bool) -> Option<Orders> {
+        let now = self.now;
+        let lease_ms = millis(self.config.settings.workers.lease_s * (1.0 + DRIFT) + 0.3);
+        let may_start = self.may_start();
+        let books_complete = self.sync.ok.is_some();
+        let leading = self.leading.as_mut()?;
+        if report.token > leading.term {
+            // Somebody leads after us.
+            self.want_sync();
+            return None;
+        }
+        let (first_term, term) = (leading.first_term, leading.term);
+        let (Some(books), true) = (&mut leading.books, books_complete) else {
+            // The books are being made: the lease is renewed, the report comes again. A machine
+            // renewed now is covered by the silence that a takeover grants all machines.
+            return checkin.then(|| Orders {
+                token: term,
+                orders: Vec::new(),
+            });
+        };
+        let type_ix = TypeIx(books.type_names.get(&report.type_name)?);
+        let zone = books.zone(&report.zone);
+        let known = books.machine_index.contains_key(&report.machine);
+        let index = books.add_machine(&report.machine, type_ix, zone, report.spot, now);
+        let machine = &mut books.machines[index.at()];
+        if !known {
+            tracing::info!(machine = report.machine, "reports, unexpected");
+        }
+        if machine.state == MachineState::Gone || report.session < machine.session {
+            return None;
+        }
+        let newer = (report.session, report.seq) > (machine.session, machine.seq);
+        if !newer {
+            // An old report changes nothing, and its answer is dropped.
+            return checkin.then(|| Orders {
+                token: term,
+                orders: Vec::new(),
+            });
+        }
+        if machine.state == MachineState::Booting || machine.state == MachineState::Lost {
+            tracing::info!(machine = machine.name, session = report.session, "up");
+            machine.state = MachineState::Up;
+            machine.idle_since = now;
+            books.changed = true;
+        }
+        let new_session = machine.session != 0 && report.session > machine.session;
+        machine.session = report.session;
+        machine.seq = report.seq;
+        machine.token = machine.token.max(report.token);
+        machine.addr = Some(report.addr.clone());
+        machine.heard_at = Some(now);
+        if checkin {
+            machine.checkins += 1;
+        }
+        // The worker's lease counts from when it sent the last report that was answered: never
+        // later than now. A worker that has seen our token obeys nobody else; until then a deposed
+        // leader may have renewed it.
+        machine.lease_until = if machine.token >= first_term {
+            now + lease_ms
+        } else {
+            machine.lease_until.max(now + lease_ms)
+        };
+        if let Some(notice) = report.notice_s {
+            let at = now + millis(notice.clamp(0.0, 3600.0));
+            if machine.recall_at.is_none() {
+                tracing::info!(machine = machine.name, notice, "is to be taken back");
+                books.changed = true;
+            }
+            machine.recall_at = Some(machine.recall_at.map_or(at, |known| known.min(at)));
+        }
+        if new_session {
+            tracing::info!(
+                machine = report.machine,
+                session = report.session,
+                "new session"
+            );
+            end_session(books, index, now, &report.tasks);
+        }
+        let foreign = absorb(books, index, report, now);
+        settle(books, index, now);
+        checkin.then(|| Orders {
+            token: term,
+            orders: orders_for(books, index, &foreign, first_term, may_start),
+        })
+    }
+
+    pub(super) fn worker_answered(&mut self, tag: WorkerTag, result: Option<WorkerReply>) {
+        if !self.leads(tag.lease) {
+            return;
+        }
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let Some(books) = &mut leading.books else {
+            return;
+        };
+        if let Some(&index) = books.machine_index.get(&tag.machine) {
+            if tag.orders {
+                books.machines[index.at()].busy = false;
+            }
+            for (task, attempt) in &tag.starts {
+                let Some(at) = find(books, index, *task, *attempt) else {
+                    continue;
+                };
+                let entry = &mut books.machines[index.at()].attempts[at];
+                entry.outstanding = false;
+                if result.is_none() {
+                    // It may be carried out minutes later, as long as the worker has not seen a
+                    // higher token or begun another session.
+                    entry.fence = entry.fence.max(tag.term + 1);
+                }
+            }
+        }
+        match result {
+            Some(WorkerReply::Executed(report) | WorkerReply::Rejected(report)) => {
+                if report.machine == tag.machine {
+                    self.report(&report, false);
+                }
+            }
+            None => tracing::debug!(machine = tag.machine, "no answer from worker"),
+        }
+    }
+
+    /// Sends what can't wait for the next report.
+    pub(super) fn send_orders(&mut self) {
+        let may_start = self.may_start();
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let Leading {
+            books: Some(books),
+            term,
+            lease,
+            ..
+        } = leading.as_mut()
+        else {
+            return;
+        };
+        for number in 0..books.machines.len() {
+            let index = MachineIx(number as u32);
+            let machine = &books.machines[number];
+            if machine.state != MachineState::Up || machine.attempts.is_empty() {
+                continue;
+            }
+            drop_unsent(books, index, self.now);
+            let machine = &books.machines[number];
+            let (Some(addr), false, true) = (&machine.addr, machine.busy, machine.session > 0)
+            else {
+                continue;
+            };
+            let mut orders = Vec::new();
+            let mut starts = Vec::new();
+            for (at, attempt) in machine.attempts.iter().enumerate() {
+                let task = books.job(attempt.job).task_id(attempt.task);
+                if attempt.phase == Phase::Placed && !attempt.sent && may_start {
+                    if books.stored(attempt) {
+                        starts.push((at, task, u64::from(attempt.attempt)));
+                    }
+                } else if let Some(grace_s) = attempt.stop
+                    && !attempt.stop_sent
+                    && attempt.phase != Phase::Ended
+                    && attempt.phase != Phase::Placed
+                {
+                    orders.push((
+                        at,
+                        Order::Stop {
+                            task,
+                            attempt: u64::from(attempt.attempt),
+                            grace_s,
+                        },
+                    ));
+                }
+            }
+            if orders.is_empty() && starts.is_empty() {
+                continue;
+            }
+            let addr = addr.clone();
+            let session = machine.session;
+            let name = machine.name.clone();
+            let machine = &mut books.machines[number];
+            machine.busy = true;
+            let mut sent = Vec::new();
+            for (at, order) in orders {
+                machine.attempts[at].stop_sent = true;
+                sent.push(order);
+            }
+            for &(at, task, attempt) in &starts {
+                machine.attempts[at].sent = true;
+                machine.attempts[at].outstanding = true;
+                sent.push(Order::Start { task, attempt });
+            }
+            self.out.push(Effect::Worker {
+                tag: WorkerTag {
+                    lease: *lease,
+                    machine: name,
+                    term: *term,
+                    starts: starts.iter().map(|&(_, task, n)| (task, n)).collect(),
+                    orders: true,
+                },
+                addr,
+                orders: Some(DirectOrders {
+                    token: *term,
+                    session,
+                    orders: sent,
+                }),
+                timeout_ms: DIRECT_TIMEOUT,
+            });
+        }
+    }
+
+    /// Notices leases that ran out, notices that come due, and starts in doubt.
+    pub(super) fn watch_machines(&mut self) {
+        let now = self.now;
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let term = leading.term;
+        let mut fence = false;
+        let Some(books) = &mut leading.books else {
+            return;
+        };
+        for number in 0..books.machines.len() {
+            let index = MachineIx(number as u32);
+            let machine = &books.machines[number];
+            if machine.state != MachineState::Up {
+                continue;
+            }
+            if now > machine.lease_until {
+                tracing::warn!(
+                    machine = machine.name,
+                    tasks = machine.attempts.len(),
+                    "silent: its lease has run out"
+                );
+                lose(books, index, now);
+                continue;
+            }
+            let heard = machine.heard_at.is_some_and(|at| at + 5000 > now);
+            fence |= heard && machine.attempts.iter().any(|a| a.fence > term);
+            if let Some(recall_at) = machine.recall_at {
+                drain(books, index, recall_at, now);
+            }
+        }
+        leading.fence_wanted |= fence;
+    }
+
+    /// Asks a machine for its report, without giving orders.
+    pub(super) fn probe(&mut self, name: String, addr: String) {
+        let Some(leading) = &self.leading else { return };
+        self.out.push(Effect::Worker {
+            tag: WorkerTag {
+                lease: leading.lease,
+                machine: name,
+                term: leading.term,
+                starts: Vec::new(),
+                orders: false,
+            },
+            addr,
+            orders: None,
+            timeout_ms: DIRECT_TIMEOUT,
+        });
+    }
+}
+
+fn find(books: &Books, on: MachineIx, task: TaskId, attempt: u64) -> Option<usize> {
+    let job = *books.job_index.get(&task.job)?;
+    books
+        .machine(on)
+        .attempts
+        .iter()
+        .position(|a| a.job == job && a.task == task.index && u64::from(a.attempt) == attempt)
+}
+
+/// The worker began a new session: what it does not report any more is gone, and starts sent to an
+/// earlier session are refused.
+fn end_session(books: &mut Books, on: MachineIx, now: Millis, listed: &[TaskReport]) {
+    let machine = &mut books.machines[on.at()];
+    for attempt in &mut machine.attempts {
+        attempt.outstanding = false;
+        attempt.answered_at = None;
+        attempt.fence = 0;
+    }
+    for at in (0..books.machine(on).attempts.len()).rev() {
+        let attempt = &books.machine(on).attempts[at];
+        let task = books.job(attempt.job).task_id(attempt.task);
+        let shown = listed
+            .iter()
+            .any(|each| each.task == task && each.attempt == u64::from(attempt.attempt));
+        if !shown {
+            books.drop_attempt(on, at, now);
+        }
+    }
+}
+
+/// Every task on the machine is surely gone.
+pub(super) fn lose(books: &mut Books, on: MachineIx, now: Millis) {
+    for at in (0..books.machine(on).attempts.len()).rev() {
+        books.drop_attempt(on, at, now);
+    }
+    let machine = &mut books.machines[on.at()];
+    machine.state = MachineState::Lost;
+    machine.idle_since = now;
+    machine.busy = false;
+    machine.images.clear();
+    // Reports of the session that has ended may still arrive.
+    machine.session += 1;
+    machine.seq = 0;
+    books.changed = true;
+}
+
+/// Follows a report that is newer than all before. Returns what it lists and the books don't have.
+fn absorb(
+    books: &mut Books,
+    on: MachineIx,
+    report: &Report,
+    now: Millis,
+) -> Vec<(TaskId, u64, TaskState)> {
+    let mut foreign = Vec::new();
+    let mut shown = vec![false; books.machine(on).attempts.len()];
+    for listed in &report.tasks {
+        let Some(at) = find(books, on, listed.task, listed.attempt) else {
+            foreign.push((listed.task, listed.attempt, listed.state));
+            continue;
+        };
+        shown[at] = true;
+        let phase = match listed.state {
+            TaskState::Fetching => Phase::Fetching,
+            TaskState::Gathering | TaskState::Running => Phase::Running,
+            TaskState::Saving => Phase::Saving,
+            TaskState::Ended => Phase::Ended,
+        };
+        books.machines[on.at()].attempts[at].cause = listed.cause;
+        books.machines[on.at()].attempts[at].sent = true;
+        books.advance(on, at, phase, now);
+    }
+    for at in (0..shown.len()).rev() {
+        let machine = books.machine(on);
+        let attempt = &machine.attempts[at];
+        if shown[at] || !attempt.sent || machine.start_in_flight(attempt) {
+            continue;
+        }
+        match attempt.phase {
+            // The start was lost; it is sent again unless the task is to stop.
+            Phase::Placed if attempt.stop.is_none() => {}
+            _ => books.drop_attempt(on, at, now),
+        }
+    }
+    foreign
+}
+
+/// Deals with attempts that have ended: completes or requeues their tasks.
+fn settle(books: &mut Books, on: MachineIx, now: Millis) {
+    for at in 0..books.machine(on).attempts.len() {
+        let machine = books.machine(on);
+        let attempt = &machine.attempts[at];
+        if attempt.phase != Phase::Ended || attempt.settled {
+            continue;
+        }
+        let (job, task, number) = (attempt.job, attempt.task, attempt.attempt);
+        let cause = attempt.cause.unwrap_or(Cause::Other);
+        let closed = books.job(job).closed;
+        let latest = books.job(job).tasks[task as usize];
+        if cause == Cause::Done {
+            if !closed && latest.status == TaskStatus::Active(on) && latest.attempt == number {
+                let needs = books.complete_task(job, task);
+                books.machines[on.at()].attempts[at].needs = needs;
+            }
+            books.machines[on.at()].attempts[at].settled = true;
+            books.machines[on.at()].failures.clear();
+            books.jobs[job.at()].errors = 0;
+            continue;
+        }
+        // A start that may still arrive would run beside the next attempt.
+        if machine.start_in_flight(attempt) {
+            continue;
+        }
+        books.machines[on.at()].attempts[at].settled = true;
+        if closed {
+            continue;
+        }
+        books.requeue(job, task, number);
+        react(books, on, job, cause, now);
+    }
+}
+
+fn react(
+    books: &mut Books,
+    on: MachineIx,
+    index: crate::bookkeeping::books::JobIx,
+    cause: Cause,
+    now: Millis,
+) {
+    let machine = &mut books.machines[on.at()];
+    let job = &mut books.jobs[index.at()];
+    match cause {
+        Cause::Done | Cause::Stopped => {}
+        Cause::NoRoom | Cause::Busy => machine.avoid_until = now + AVOID_FULL,
+        Cause::Unknown => job.not_before = now + AVOID_FULL,
+        Cause::Error | Cause::Other => {
+            tracing::warn!(job = %job.id, machine = machine.name, "a task failed");
+            job.errors += 1;
+            if !job.failed_on.contains(&on) {
+                job.failed_on.push_back(on);
+            }
+            let elsewhere = job.failed_on.len() >= 3;
+            if job.failed_on.len() > 4 {
+                job.failed_on.pop_front();
+            }
+            // The first failure elsewhere is tried at once; then it backs off.
+            let backoff = 250u64 << job.errors.saturating_sub(1).min(7);
+            job.not_before = now
+                + if job.errors > 1 {
+                    backoff.min(MAX_BACKOFF)
+                } else {
+                    0
+                };
+            // A job that fails everywhere is itself at fault.
+            if elsewhere && job.errors >= 3 {
+                return;
+            }
+            machine.avoid_until = now + AVOID;
+            let id = job.id;
+            if !machine.failures.contains(&id) {
+                machine.failures.push(id);
+            }
+            if machine.failures.len() >= SICK && !machine.draining {
+                let name = machine.name.clone();
+                let fleet = books
+                    .machines
+                    .iter()
+                    .filter(|m| m.state == MachineState::Up);
+                let (all, draining) =
+                    fleet.fold((0, 0), |(a, d), m| (a + 1, d + usize::from(m.draining)));
+                // A wrong guess must not empty the fleet.
+                if (draining + 1) * 3 <= all.max(3) {
+                    tracing::warn!(machine = name, "fails every task: to be replaced");
+                    books.machines[on.at()].draining = true;
+                    books.changed = true;
+                }
+            }
+        }
+    }
+}
+
+/// Attempts that are to stop and whose start was never sent need no orders.
+fn drop_unsent(books: &mut Books, on: MachineIx, now: Millis) {
+    for at in (0..books.machine(on).attempts.len()).rev() {
+        let attempt = &books.machine(on).attempts[at];
+        if attempt.stop.is_some() && !attempt.sent {
+            books.drop_attempt(on, at, now);
+        }
+    }
+}
+
+/// Moves tasks off a machine that will be taken: those that can save do so as late as is safe,
+/// those that can't finish in time stop at once.
+fn drain(books: &mut Books, on: MachineIx, recall_at: Millis, now: Millis) {
+    let left_s = recall_at.saturating_sub(now) as f64 / 1000.0;
+    for at in 0..books.machine(on).attempts.len() {
+        let attempt = &books.machine(on).attempts[at];
+        if attempt.phase == Phase::Ended || attempt.stop.is_some() {
+            continue;
+        }
+        let job = books.job(attempt.job);
+        let ran = attempt
+            .running_since
+            .map_or(0.0, |since| now.saturating_sub(since) as f64 / 1000.0);
+        let stop = if job.kind == Kind::Service {
+            (left_s < 3.0).then_some(0.0)
+        } else if job.checkpoint_s > 0.0 {
+            (left_s < job.save_s + 4.0).then_some(job.save_s)
+        } else {
+            (job.estimate_s - ran > left_s).then_some(0.0)
+        };
+        if stop.is_some() {
+            books.machines[on.at()].attempts[at].stop = stop;
+        }
+    }
+}
+
+/// The orders to answer a check-in with: everything that the report shows to be missing.
+fn orders_for(
+    books: &mut Books,
+    on: MachineIx,
+    foreign: &[(TaskId, u64, TaskState)],
+    first_term: u64,
+    may_start: bool,
+) -> Vec<Order> {
+    let mut orders = Vec::new();
+    let seen_us = books.machine(on).token >= first_term;
+    for &(task, attempt, state) in foreign {
+        if state != TaskState::Ended {
+            orders.push(Order::Stop {
+                task,
+                attempt,
+                grace_s: 0.0,
+            });
+        } else if seen_us {
+            orders.push(Order::Forget { task, attempt });
+        }
+    }
+    for at in 0..books.machine(on).attempts.len() {
+        if orders.len() >= MAX_ORDERS {
+            break;
+        }
+        let machine = books.machine(on);
+        let entry = &machine.attempts[at];
+        let task = books.job(entry.job).task_id(entry.task);
+        let attempt = u64::from(entry.attempt);
+        match (entry.phase, entry.stop) {
+            (Phase::Placed, None) => {
+                if may_start && books.stored(entry) && !entry.outstanding {
+                    orders.push(Order::Start { task, attempt });
+                    let checkins = machine.checkins;
+                    let entry = &mut books.machines[on.at()].attempts[at];
+                    entry.sent = true;
+                    entry.answered_at = Some(checkins);
+                }
+            }
+            (Phase::Placed, Some(_)) => {}
+            // Saving already; a second order would cut it short.
+            (Phase::Saving, Some(grace_s)) if grace_s > 0.0 => {}
+            (Phase::Ended, _) => {
+                let told = entry.cause != Some(Cause::Done)
+                    || books.job(entry.job).closed
+                    || books.stored(entry);
+                if entry.settled && told && !machine.start_in_flight(entry) {
+                    orders.push(Order::Forget { task, attempt });
+                }
+            }
+            (_, Some(grace_s)) => {
+                orders.push(Order::Stop {
+                    task,
+                    attempt,
+                    grace_s,
+                });
+                books.machines[on.at()].attempts[at].stop_sent = true;
+            }
+            (_, None) => {}
+        }
+    }
+    orders
+}
--- /dev/null
+++ b/src/coordination/mod.rs
@@ -0,0 +1,306 @@
+//! The owner of a node's state: a pure machine that turns commands into effects.
+//!
+//! [`Node::step`] takes a batch of commands and the time and returns what is to be done. It does
+//! no I/O, reads no clock and draws no random numbers, so that a history can be played again.
+
+mod directory;
+mod fleet;
+mod leader;
+mod renting;
+mod users;
+
+use std::collections::HashMap;
+
+pub use directory::Directory;
+pub use leader::Leading;
+
+use crate::{
+    bookkeeping::Millis,
+    config::Config,
+    protocol::{
+        self,
+        cloud::{CloudError, CloudReply, CloudRequest, MachineType},
+        ids::JobId,
+        job::Submission,
+        state::{StateError, StateReply, StateRequest, Urgency},
+        worker::{DirectOrders, Report, WorkerReply},
+    },
+};
+
+/// A request from outside that waits for its answer.
+pub type AskId = u64;
+
+/// What users, workers and the load balancer ask.
+#[derive(Debug)]
+pub enum Ask {
+    Submit(Box<Submission>),
+    Poll(JobId),
+    Cancel(JobId),
+    CheckIn(Box<Report>),
+    Ready,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Answer {
+    pub status: u16,
+    pub body: Vec<u8>,
+    pub retry_after_s: Option<u32>,
+}
+
+impl Answer {
+    fn with<T: serde::Serialize>(status: u16, body: &T) -> Self {
+        Answer {
+            status,
+            body: protocol::encode(body),
+            retry_after_s: None,
+        }
+    }
+
+    fn error(status: u16, error: &str) -> Self {
+        Answer::with(status, &serde_json::json!({ "error": error }))
+    }
+
+    /// The node can't tell now; the client should come back in `seconds`.
+    fn later(error: &str, seconds: u32) -> Self {
+        Answer {
+            retry_after_s: Some(seconds),
+            ..Answer::error(503, error)
+        }
+    }
+}
+
+/// How far an unfinished job is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct JobProgress {
+    pub job: JobId,
+    pub done: u32,
+    pub running: u32,
+}
+
+/// What the leader tells the other members now and then.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Progress {
+    pub term: u64,
+    pub jobs: Vec<JobProgress>,
+}
+
+#[derive(Debug)]
+pub enum Command {
+    Ask(AskId, Ask),
+    State {
+        tag: StateTag,
+        /// When the request went out.
+        sent_at: Millis,
+        result: Result<StateReply, StateError>,
+    },
+    Cloud {
+        tag: CloudTag,
+        result: Result<CloudReply, CloudError>,
+    },
+    Worker {
+        tag: WorkerTag,
+        result: Option<WorkerReply>,
+    },
+    Progress(Progress),
+    Tick,
+}
+
+#[derive(Clone, Debug)]
+pub enum Effect {
+    Answer(AskId, Answer),
+    State {
+        tag: StateTag,
+        request: StateRequest,
+        urgency: Urgency,
+        timeout_ms: u64,
+    },
+    Cloud {
+        tag: CloudTag,
+        request: CloudRequest,
+        timeout_ms: u64,
+    },
+    Worker {
+        tag: WorkerTag,
+        addr: String,
+        orders: Option<DirectOrders>,
+        timeout_ms: u64,
+    },
+    Tell(Progress),
+    /// How much of the services' limits this node may use.
+    Leading(bool),
+}
+
+/// Which request to the state service an answer belongs to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StateTag {
+    Load { generation: u64 },
+    Watch { generation: u64 },
+    Sync { generation: u64 },
+    Submit(AskId),
+    SubmitCheck(AskId),
+    Cancel(AskId),
+    Grant,
+    Acquire { lease: u64 },
+    AcquireCheck { lease: u64 },
+    Touch { lease: u64 },
+    Release,
+    Books { lease: u64 },
+    Flush { lease: u64, id: u64 },
+    ChunkCheck { lease: u64, job: JobId, chunk: u32 },
+    Fence { lease: u64 },
+    FenceCheck { lease: u64 },
+    Sweep { lease: u64, jobs: Vec<JobId> },
+    Types,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CloudTag {
+    Types,
+    List { lease: u64 },
+    Rent { lease: u64, name: String },
+    Delete { lease: u64, names: Vec<String> },
+}
+
+/// Which orders a worker's answer belongs to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WorkerTag {
+    pub lease: u64,
+    pub machine: String,
+    /// The token that was sent.
+    pub term: u64,
+    /// The starts among the orders: task and attempt.
+    pub starts: Vec<(protocol::ids::TaskId, u64)>,
+    /// Orders were sent, not only a question.
+    pub orders: bool,
+}
+
+/// The time, as the owner is told it.
+#[derive(Clone, Copy, Debug)]
+pub struct Now {
+    pub steady: Millis,
+    /// Milliseconds since the epoch.
+    pub wall: u64,
+}
+
+/// One controller node.
+pub struct Node {
+    config: Config,
+    now: Millis,
+    wall: u64,
+    out: Vec<Effect>,
+    directory: Directory,
+    loading: directory::Loading,
+    /// Counts reloads; answers to requests of an earlier one are void.
+    generation: u64,
+    watch: directory::Watch,
+    sync: directory::Sync,
+    pending: HashMap<AskId, users::Pending>,
+    types: Vec<MachineType>,
+    types_asked: Option<Millis>,
+    types_known_at: Option<Millis>,
+    campaign: leader::Campaign,
+    leading: Option<Box<Leading>>,
+    progress: HashMap<JobId, JobProgress>,
+}
+
+impl Node {
+    pub fn new(config: Config) -> Self {
+        Node {
+            config,
+            now: 0,
+            wall: 0,
+            out: Vec::new(),
+            directory: Directory::default(),
+            loading: directory::Loading::Needed { after: 0 },
+            generation: 0,
+            watch: directory::Watch::default(),
+            sync: directory::Sync::default(),
+            pending: HashMap::new(),
+            types: Vec::new(),
+            types_asked: None,
+            types_known_at: None,
+            campaign: leader::Campaign::default(),
+            leading: None,
+            progress: HashMap::new(),
+        }
+    }
+
+    /// Works through a batch of commands.
+    pub fn step(&mut self, commands: impl IntoIterator<Item = Command>, now: Now) -> Vec<Effect> {
+        self.now = self.now.max(now.steady);
+        self.wall = now.wall;
+        for command in commands {
+            self.handle(command);
+        }
+        self.advance();
+        std::mem::take(&mut self.out)
+    }
+
+    fn handle(&mut self, command: Command) {
+        match command {
+            Command::Ask(id, Ask::CheckIn(report)) => self.check_in(id, *report),
+            Command::Ask(id, ask) => self.ask(id, ask),
+            Command::State {
+                tag,
+                sent_at,
+                result,
+            } => self.state_answered(tag, sent_at, result),
+            Command::Cloud { tag, result } => self.cloud_answered(tag, result),
+            Command::Worker { tag, result } => self.worker_answered(tag, result),
+            Command::Progress(progress) => self.heard_progress(progress),
+            Command::Tick => {}
+        }
+    }
+
+    fn state_answered(
+        &mut self,
+        tag: StateTag,
+        sent_at: Millis,
+        result: Result<StateReply, StateError>,
+    ) {
+        match tag {
+            StateTag::Load { generation } => self.loaded(generation, result),
+            StateTag::Watch { generation } => self.watched(generation, result),
+            StateTag::Sync { generation } => self.synced(generation, sent_at, result),
+            StateTag::Submit(id) => self.submit_answered(id, result),
+            StateTag::SubmitCheck(id) => self.submit_checked(id, result),
+            StateTag::Cancel(id) => self.cancel_answered(id, result),
+            StateTag::Grant => self.granted(sent_at, result),
+            StateTag::Acquire { lease } => self.acquire_answered(lease, result),
+            StateTag::AcquireCheck { lease } => self.acquire_checked(lease, result),
+            StateTag::Touch { lease } => self.touched(lease, sent_at, result),
+            StateTag::Release => {}
+            StateTag::Books { lease } => self.books_read(lease, result),
+            StateTag::Flush { lease, id } => self.flushed(lease, id, result),
+            StateTag::ChunkCheck { lease, job, chunk } => {
+                self.chunk_checked(lease, job, chunk, result)
+            }
+            StateTag::Fence { lease } => self.fence_answered(lease, result),
+            StateTag::FenceCheck { lease } => self.fence_checked(lease, result),
+            StateTag::Sweep { lease, jobs } => self.swept(lease, &jobs, result),
+            StateTag::Types => {}
+        }
+    }
+
+    /// Does what is due.
+    fn advance(&mut self) {
+        self.ask_types();
+        self.follow();
+        self.campaign();
+        self.lead();
+    }
+
+    fn state(&mut self, tag: StateTag, request: StateRequest, urgency: Urgency, timeout_ms: u64) {
+        self.out.push(Effect::State {
+            tag,
+            request,
+            urgency,
+            timeout_ms,
+        });
+    }
+
+    /// Whether users can be served: the jobs are known, and so is what a machine can hold.
+    pub fn ready(&self) -> bool {
+        self.directory.loaded() && !self.types.is_empty()
+    }
+}
--- /dev/null
+++ b/src/coordination/users.rs
@@ -0,0 +1,326 @@
+//! Users' requests. Any node takes them: what counts is the job's key in the state service.
+
+use super::{Answer, Ask, AskId, Node, Progress, StateTag, directory::Entry};
+use crate::{
+    bookkeeping::{
+        books::Amounts,
+        store::{self, JobRecord},
+    },
+    protocol::{
+        ids::JobId,
+        job::{JobStatus, JobView, Kind, Submission},
+        state::{Condition, StateError, StateReply, StateRequest, Txn, Urgency, Write},
+    },
+};
+
+const TXN_TIMEOUT: u64 = 2000;
+const CHECK_TIMEOUT: u64 = 1500;
+/// How often a cancellation is tried against a record that keeps changing.
+const CANCEL_TRIES: u32 = 4;
+
+/// A user's request under way.
+#[derive(Debug)]
+pub enum Pending {
+    Poll(JobId),
+    Submit(Box<Submission>),
+    Cancel { id: JobId, tries: u32 },
+}
+
+impl Pending {
+    fn job(&self) -> JobId {
+        match self {
+            Pending::Poll(id) | Pending::Cancel { id, .. } => *id,
+            Pending::Submit(submission) => submission.id,
+        }
+    }
+}
+
+enum Verdict {
+    Fits,
+    Unknown,
+    Never(&'static str),
+}
+
+impl Node {
+    pub(super) fn answer(&mut self, id: AskId, answer: Answer) {
+        self.out.push(super::Effect::Answer(id, answer));
+    }
+
+    pub(super) fn ask(&mut self, id: AskId, ask: Ask) {
+        if matches!(ask, Ask::Ready) {
+            let answer = if self.ready() {
+                Answer::with(200, &serde_json::json!({ "node": self.config.label }))
+            } else {
+                Answer::error(503, "starting")
+            };
+            return self.answer(id, answer);
+        }
+        if !self.ready() {
+            return self.answer(id, Answer::later("starting", 1));
+        }
+        match ask {
+            Ask::Submit(submission) => match self.directory.get(submission.id) {
+                Some(_) => self.read(id, Pending::Submit(submission)),
+                None => match self.verdict(&submission) {
+                    Verdict::Fits => self.accept(id, submission),
+                    // It may have been accepted elsewhere, when things looked different.
+                    Verdict::Never(_) => self.after_sync(id, Pending::Submit(submission)),
+                    Verdict::Unknown => self.answer(id, Answer::later("starting", 1)),
+                },
+            },
+            Ask::Poll(job) => self.read(id, Pending::Poll(job)),
+            Ask::Cancel(job) => self.read(id, Pending::Cancel { id: job, tries: 0 }),
+            Ask::CheckIn(_) | Ask::Ready => unreachable!("handled before"),
+        }
+    }
+
+    /// Final states are answered from memory, everything else after a sync. A cancellation of a
+    /// job that is known to be live goes straight to its key, which decides.
+    fn read(&mut self, id: AskId, pending: Pending) {
+        match (self.directory.get(pending.job()), &pending) {
+            (Some(Entry::Final(_)), _) | (Some(Entry::Live(_)), Pending::Cancel { .. }) => {
+                self.pending.insert(id, pending);
+                self.resolve(id);
+            }
+            _ => self.after_sync(id, pending),
+        }
+    }
+
+    /// Answers a request now that the view is new enough.
+    pub(super) fn resolve(&mut self, id: AskId) {
+        let Some(pending) = self.pending.remove(&id) else {
+            return;
+        };
+        let job = pending.job();
+        let known = self.directory.get(job).cloned();
+        match (known, pending) {
+            (Some(Entry::Final(status)), _) => {
+                let view = self.view(job, Some(status));
+                self.answer(id, Answer::with(200, &view));
+            }
+            (Some(Entry::Live(_)), Pending::Poll(_) | Pending::Submit(_)) => {
+                let view = self.view(job, None);
+                self.answer(id, Answer::with(200, &view));
+            }
+            (Some(Entry::Live(live)), Pending::Cancel { id: job, tries }) => {
+                if tries >= CANCEL_TRIES {
+                    return self.answer(id, Answer::later("busy", 1));
+                }
+                self.pending.insert(
+                    id,
+                    Pending::Cancel {
+                        id: job,
+                        tries: tries + 1,
+                    },
+                );
+                let key = store::job_key(job);
+                let txn = Txn {
+                    conditions: vec![Condition {
+                        key: key.clone(),
+                        version: live.version,
+                    }],
+                    writes: vec![Write::Put {
+                        key,
+                        value: store::to_value(&JobRecord::Cancelled),
+                        lease: None,
+                    }],
+                };
+                self.state(
+                    StateTag::Cancel(id),
+                    StateRequest::Txn(txn),
+                    Urgency::Prompt,
+                    TXN_TIMEOUT,
+                );
+            }
+            (None, Pending::Submit(submission)) => match self.verdict(&submission) {
+                Verdict::Fits => self.accept(id, submission),
+                Verdict::Never(reason) => self.answer(id, Answer::error(422, reason)),
+                Verdict::Unknown => self.answer(id, Answer::later("starting", 1)),
+            },
+            (None, _) => self.answer(id, Answer::error(404, "no such job")),
+        }
+    }
+
+    /// The request can't be answered now.
+    pub(super) fn refuse(&mut self, id: AskId) {
+        if self.pending.remove(&id).is_some() {
+            self.answer(id, Answer::later("the state service does not answer", 1));
+        }
+    }
+
+    fn accept(&mut self, id: AskId, submission: Box<Submission>) {
+        let key = store::job_key(submission.id);
+        let value = store::to_value(&JobRecord::Live {
+            at_ms: self.wall,
+            spec: submission.clone(),
+        });
+        if value.to_string().len() as f64 > self.config.settings.state.value_kb * 1024.0 - 64.0 {
+            return self.answer(id, Answer::error(400, "too many names"));
+        }
+        let txn = Txn {
+            conditions: vec![Condition {
+                key: key.clone(),
+                version: 0,
+            }],
+            writes: vec![Write::Put {
+                key,
+                value,
+                lease: None,
+            }],
+        };
+        self.pending.insert(id, Pending::Submit(submission));
+        self.state(
+            StateTag::Submit(id),
+            StateRequest::Txn(txn),
+            Urgency::Prompt,
+            TXN_TIMEOUT,
+        );
+    }
+
+    pub(super) fn submit_answered(&mut self, id: AskId, result: Result<StateReply, StateError>) {
+        match result {
+            Ok(StateReply::Committed(version)) => {
+                let Some(Pending::Submit(submission)) = self.pending.remove(&id) else {
+                    return;
+                };
+                let job = submission.id;
+                tracing::info!(%job, class = submission.class, team = submission.team,
+                    tasks = submission.tasks, "accepted");
+                let record = JobRecord::Live {
+                    at_ms: self.wall,
+                    spec: submission,
+                };
+                let change = self.directory.put_job(job, record, version);
+                self.changed(change);
+                let view = self.view(job, None);
+                self.answer(id, Answer::with(201, &view));
+            }
+            // Somebody was first: another node, or an attempt of ours that seemed lost.
+            Ok(StateReply::Conflict(_)) => self.sync_again(id),
+            Err(StateError::NoAnswer) => {
+                let Some(pending) = self.pending.get(&id) else {
+                    return;
+                };
+                let key = store::job_key(pending.job());
+                self.state(
+                    StateTag::SubmitCheck(id),
+                    StateRequest::Get { key },
+                    Urgency::Prompt,
+                    CHECK_TIMEOUT,
+                );
+            }
+            _ => self.refuse(id),
+        }
+    }
+
+    pub(super) fn submit_checked(&mut self, id: AskId, result: Result<StateReply, StateError>) {
+        match result {
+            Ok(StateReply::Row(_)) => self.sync_again(id),
+            // Not there yet, and perhaps never: the user has to ask again.
+            _ => self.refuse(id),
+        }
+    }
+
+    pub(super) fn cancel_answered(&mut self, id: AskId, result: Result<StateReply, StateError>) {
+        match result {
+            Ok(StateReply::Committed(version)) => {
+                let Some(pending) = self.pending.remove(&id) else {
+                    return;
+                };
+                let job = pending.job();
+                tracing::info!(%job, "cancelled");
+                let change = self.directory.put_job(job, JobRecord::Cancelled, version);
+                self.changed(change);
+                let view = self.view(job, Some(JobStatus::Cancelled));
+                self.answer(id, Answer::with(200, &view));
+            }
+            Ok(StateReply::Conflict(_)) | Err(StateError::NoAnswer) => self.sync_again(id),
+            _ => self.refuse(id),
+        }
+    }
+
+    fn sync_again(&mut self, id: AskId) {
+        if let Some(pending) = self.pending.remove(&id) {
+            self.after_sync(id, pending);
+        }
+    }
+
+    /// Whether the job can ever run.
+    fn verdict(&self, job: &Submission) -> Verdict {
+        if self.types.is_empty() {
+            return Verdict::Unknown;
+        }
+        let Some(team) = self
+            .config
+            .settings
+            .teams
+            .iter()
+            .find(|team| team.name == job.team)
+        else {
+            return Verdict::Never("unknown team");
+        };
+        let need = Amounts {
+            cpus: job.cpus,
+            gpus: job.gpus,
+            ram_gb: job.ram_gb,
+        };
+        let allowed = |name: &String| job.types.as_ref().is_none_or(|only| only.contains(name));
+        let fits = self.types.iter().any(|kind| {
+            allowed(&kind.name)
+                && job
+                    .zone
+                    .as_ref()
+                    .is_none_or(|zone| kind.zones.contains(zone))
+                && need.fits_in(&Amounts {
+                    cpus: kind.cpus,
+                    gpus: kind.gpus,
+                    ram_gb: kind.ram_gb,
+                })
+        });
+        if !fits {
+            return Verdict::Never("a task fits no allowed machine type");
+        }
+        let tasks = match job.kind {
+            Kind::Array => 1.0,
+            Kind::Service => f64::from(job.tasks),
+        };
+        let over = |limit: f64, need: f64| limit > 0.0 && tasks * need > limit + 1e-6;
+        if over(team.cpus_max, job.cpus) || over(team.gpus_max, job.gpus) {
+            return Verdict::Never("the job needs more than its team's limit");
+        }
+        Verdict::Fits
+    }
+
+    fn view(&self, id: JobId, status: Option<JobStatus>) -> JobView {
+        let (done, running) = match &self.leading {
+            Some(leading) => leading.counts(id),
+            None => self
+                .progress
+                .get(&id)
+                .map(|progress| (progress.done, progress.running)),
+        }
+        .unwrap_or_default();
+        let status = status.unwrap_or(if running > 0 {
+            JobStatus::Running
+        } else {
+            JobStatus::Pending
+        });
+        JobView {
+            id,
+            status,
+            done,
+            running,
+        }
+    }
+
+    pub(super) fn heard_progress(&mut self, progress: Progress) {
+        if progress.term < self.directory.term {
+            return;
+        }
+        self.progress = progress
+            .jobs
+            .into_iter()
+            .map(|job| (job.job, job))
+            .collect();
+    }
+}
--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,297 @@
+//! Ties the layers together: one owner of all state, fed through a queue of commands.
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    rc::Rc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use tokio::{
+    net::TcpListener,
+    sync::{mpsc, oneshot},
+    task::LocalSet,
+    time::{Instant, MissedTickBehavior},
+};
+
+use crate::{
+    config::Config,
+    coordination::{Answer, AskId, Command, Effect, Node, Now},
+    protocol::{
+        cloud::{CloudError, CloudRequest},
+        state::{StateError, StateRequest, Urgency},
+    },
+    transport::{
+        client::{CloudClient, StateClient, WorkerClient},
+        limiter::Bucket,
+        mesh, server,
+    },
+};
+
+/// How often the owner looks at the time when nothing else happens.
+const TICK: Duration = Duration::from_millis(50);
+/// Commands worked through at once.
+const BATCH: usize = 256;
+/// What is kept free of the services' limits, for clocks that differ.
+const HEADROOM: f64 = 0.92;
+
+#[derive(Debug, thiserror::Error)]
+pub enum DaemonError {
+    #[error("cannot start: {0}")]
+    Runtime(std::io::Error),
+    #[error("listen: cannot listen on {addr}: {source}")]
+    Listen {
+        addr: std::net::SocketAddrV4,
+        source: std::io::Error,
+    },
+}
+
+/// Runs a node until the process is killed.
+pub fn run(config: Config) -> Result<(), DaemonError> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(DaemonError::Runtime)?;
+    LocalSet::new().block_on(&runtime, serve(config))
+}
+
+async fn serve(config: Config) -> Result<(), DaemonError> {
+    tracing::info!(label = config.label, listen = %config.listen, "starting");
+    let listener =
+        TcpListener::bind(config.listen)
+            .await
+            .map_err(|source| DaemonError::Listen {
+                addr: config.listen,
+                source,
+            })?;
+    let (commands, queue) = mpsc::unbounded_channel();
+    let (door, asked) = mpsc::unbounded_channel();
+    tokio::spawn(server::serve(listener, door));
+    let mesh_addr = config.mesh_addr;
+    let to_owner = commands.clone();
+    tokio::spawn(async move {
+        loop {
+            if let Err(error) = mesh::serve(mesh_addr, to_owner.clone()).await {
+                tracing::error!(%error, "the mesh does not listen");
+            }
+            tokio::time::sleep(Duration::from_secs(1)).await;
+        }
+    });
+    let io = Rc::new(Io::new(&config, commands));
+    own(Node::new(config), io, queue, asked).await;
+    Ok(())
+}
+
+/// The owner's loop.
+async fn own(
+    mut node: Node,
+    io: Rc<Io>,
+    mut queue: mpsc::UnboundedReceiver<Command>,
+    mut asked: mpsc::UnboundedReceiver<(crate::coordination::Ask, oneshot::Sender<Answer>)>,
+) {
+    let mut tick = tokio::time::interval(TICK);
+    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut answers: HashMap<AskId, oneshot::Sender<Answer>> = HashMap::new();
+    let mut next_ask: AskId = 0;
+    let mut batch = Vec::with_capacity(BATCH);
+    let mut asks = Vec::with_capacity(BATCH);
+    loop {
+        tokio::select! {
+            biased;
+            _ = queue.recv_many(&mut batch, BATCH) => {}
+            _ = asked.recv_many(&mut asks, BATCH) => {}
+            _ = tick.tick() => batch.push(Command::Tick),
+        }
+        for (ask, answer) in asks.drain(..) {
+            next_ask += 1;
+            answers.insert(next_ask, answer);
+            batch.push(Command::Ask(next_ask, ask));
+        }
+        let now = Now {
+            steady: io.now(),
+            wall: SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .map_or(0, |since| since.as_millis() as u64),
+        };
+        for effect in node.step(batch.drain(..), now) {
+            match effect {
+                Effect::Answer(id, answer) => {
+                    if let Some(waiting) = answers.remove(&id) {
+                        // Whoever asked may have left.
+                        let _ = waiting.send(answer);
+                    }
+                }
+                effect => io.perform(effect),
+            }
+        }
+    }
+}
+
+/// Carries out effects; what comes of them goes back to the owner as commands.
+struct Io {
+    began: Instant,
+    owner: mpsc::UnboundedSender<Command>,
+    state: StateClient,
+    cloud: CloudClient,
+    workers: WorkerClient,
+    members: mesh::Members,
+    addrs: Vec<std::net::SocketAddrV4>,
+    requests: Bucket,
+    writes: Bucket,
+    cloud_requests: Bucket,
+    limits: Limits,
+    /// Held while no request to a service may be sent twice at once.
+    leading: RefCell<bool>,
+}
+
+struct Limits {
+    nodes: f64,
+    rps: f64,
+    write_rps: f64,
+    cloud_rps: f64,
+}
+
+impl Limits {
+    /// A node's part of a service's limit: the leader has half of it, the others share the rest.
+    fn part(&self, whole: f64, leading: bool) -> f64 {
+        let others = (self.nodes - 1.0).max(1.0);
+        HEADROOM
+            * whole
+            * if leading || self.nodes <= 1.0 {
+                0.5
+            } else {
+                0.5 / others
+            }
+    }
+}
+
+impl Io {
+    fn new(config: &Config, owner: mpsc::UnboundedSender<Command>) -> Self {
+        let limits = Limits {
+            nodes: config.members.len() as f64 + 1.0,
+            rps: config.settings.state.rps,
+            write_rps: config.settings.state.write_rps,
+            cloud_rps: config.settings.cloud.rps,
+        };
+        let addrs: Vec<_> = config.members.iter().map(|member| member.address).collect();
+        Io {
+            began: Instant::now(),
+            owner,
+            state: StateClient::new(config.services.state),
+            cloud: CloudClient::new(config.services.cloud),
+            workers: WorkerClient::new(),
+            members: mesh::Members::new(addrs.iter().copied()),
+            addrs,
+            requests: Bucket::new(limits.part(limits.rps, false)),
+            writes: Bucket::new(limits.part(limits.write_rps, false)),
+            cloud_requests: Bucket::new(limits.part(limits.cloud_rps, false)),
+            limits,
+            leading: RefCell::new(false),
+        }
+    }
+
+    fn now(&self) -> u64 {
+        self.began.elapsed().as_millis() as u64
+    }
+
+    fn perform(self: &Rc<Self>, effect: Effect) {
+        let io = self.clone();
+        match effect {
+            Effect::State {
+                tag,
+                request,
+                urgency,
+                timeout_ms,
+            } => {
+                tokio::task::spawn_local(async move {
+                    let (sent_at, result) = io.ask_state(request, urgency, timeout_ms).await;
+                    let _ = io.owner.send(Command::State {
+                        tag,
+                        sent_at,
+                        result,
+                    });
+                });
+            }
+            Effect::Cloud {
+                tag,
+                request,
+                timeout_ms,
+            } => {
+                tokio::task::spawn_local(async move {
+                    let result = io.ask_cloud(request, timeout_ms).await;
+                    let _ = io.owner.send(Command::Cloud { tag, result });
+                });
+            }
+            Effect::Worker {
+                tag,
+                addr,
+                orders,
+                timeout_ms,
+            } => {
+                tokio::task::spawn_local(async move {
+                    let timeout = Duration::from_millis(timeout_ms);
+                    let result = io.workers.call(&addr, orders.as_ref(), timeout).await;
+                    let _ = io.owner.send(Command::Worker { tag, result });
+                });
+            }
+            Effect::Tell(progress) => {
+                for addr in &self.addrs {
+                    self.members.tell(*addr, &progress);
+                }
+            }
+            Effect::Leading(leading) => {
+                self.leading.replace(leading);
+                let limits = &self.limits;
+                self.requests.set_rate(limits.part(limits.rps, leading));
+                self.writes.set_rate(limits.part(limits.write_rps, leading));
+                self.cloud_requests
+                    .set_rate(limits.part(limits.cloud_rps, leading));
+            }
+            Effect::Answer(..) => {}
+        }
+    }
+
+    async fn ask_state(
+        &self,
+        request: StateRequest,
+        urgency: Urgency,
+        timeout_ms: u64,
+    ) -> (u64, Result<crate::protocol::state::StateReply, StateError>) {
+        let timeout = Duration::from_millis(timeout_ms);
+        let writes = match &request {
+            StateRequest::Txn(txn) => txn.writes.len() as f64,
+            _ => 0.0,
+        };
+        let allowed = async {
+            if writes > 0.0 {
+                self.writes.take(writes, urgency).await;
+            }
+            self.requests.take(1.0, urgency).await;
+        };
+        if tokio::time::timeout(timeout, allowed).await.is_err() {
+            return (self.now(), Err(StateError::Refused(429)));
+        }
+        let sent_at = self.now();
+        let result = self.state.call(&request, timeout).await;
+        if let Err(error) = &result {
+            tracing::debug!(?request, %error, "state service");
+        }
+        (sent_at, result)
+    }
+
+    async fn ask_cloud(
+        &self,
+        request: CloudRequest,
+        timeout_ms: u64,
+    ) -> Result<crate::protocol::cloud::CloudReply, CloudError> {
+        self.cloud_requests.take(1.0, Urgency::Vital).await;
+        let result = self
+            .cloud
+            .call(&request, Duration::from_millis(timeout_ms))
+            .await;
+        if let Err(error) = &result {
+            tracing::debug!(?request, ?error, "cloud");
+        }
+        result
+    }
+}
--- /dev/null
+++ b/src/protocol/ids.rs
@@ -0,0 +1,92 @@
+//! Names that carry structure: job ids and task ids.
+
+use std::{fmt, str::FromStr};
+
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
+
+/// A job's id, `j-` and at least six digits. Only the canonical spelling is a job id, so the
+/// number alone stands for the name everywhere inside.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct JobId(pub u64);
+
+/// A task of a job: `j-000412/3`.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct TaskId {
+    pub job: JobId,
+    pub index: u32,
+}
+
+#[derive(Debug, thiserror::Error, PartialEq, Eq)]
+#[error("not a job or task id")]
+pub struct BadId;
+
+impl fmt::Display for JobId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "j-{:06}", self.0)
+    }
+}
+
+impl fmt::Debug for JobId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.job, self.index)
+    }
+}
+
+impl fmt::Debug for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+fn digits<T: FromStr>(text: &str, least: usize) -> Result<T, BadId> {
+    let plain = text.len() >= least && text.bytes().all(|b| b.is_ascii_digit());
+    let canonical = text.len() == least || !text.starts_with('0');
+    if !plain || !canonical {
+        return Err(BadId);
+    }
+    text.parse().map_err(|_| BadId)
+}
+
+impl FromStr for JobId {
+    type Err = BadId;
+
+    fn from_str(text: &str) -> Result<Self, BadId> {
+        digits(text.strip_prefix("j-").ok_or(BadId)?, 6).map(JobId)
+    }
+}
+
+impl FromStr for TaskId {
+    type Err = BadId;
+
+    fn from_str(text: &str) -> Result<Self, BadId> {
+        let (job, index) = text.split_once('/').ok_or(BadId)?;
+        Ok(TaskId {
+            job: job.parse()?,
+            index: digits(index, 1)?,
+        })
+    }
+}
+
+macro_rules! serde_as_text {
+    ($($name:ty),*) => {$(
+        impl Serialize for $name {
+            fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+                serializer.collect_str(self)
+            }
+        }
+        impl<'de> Deserialize<'de> for $name {
+            fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+                let text = std::borrow::Cow::<str>::deserialize(deserializer)?;
+                text.parse().map_err(de::Error::custom)
+            }
+        }
+    )*};
+}
+
+serde_as_text!(JobId, TaskId);
--- /dev/null
+++ b/src/transport/client.rs
@@ -0,0 +1,312 @@
+//! Pooled HTTP clients for the state service, the cloud and the workers.
+
+use std::{cell::RefCell, net::SocketAddrV4, time::Duration};
+
+use bytes::Bytes;
+use http::{Method, Request};
+use http_body_util::{BodyExt, Full};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::{TokioExecutor, TokioTimer},
+};
+use serde::de::DeserializeOwned;
+
+use crate::protocol::{
+    self,
+    cloud::{CloudError, CloudReply, CloudRequest, MachineNames},
+    state::{
+        Changes, Committed, Conflict, Lease, LeaseRequest, Page, Row, StateError, StateReply,
+        StateRequest,
+    },
+    worker::{DirectOrders, WorkerReply},
+};
+
+/// An answer: the status and the body.
+type Answer = (u16, Bytes);
+
+/// One pool of connections. A request that gets no answer leaves the pool to be thrown away:
+/// behind a cut, its idle connections are as dead as the one that was used.
+pub struct Http {
+    client: RefCell<Client<HttpConnector, Full<Bytes>>>,
+    idle_per_host: usize,
+    shared_fate: bool,
+}
+
+impl Http {
+    /// `shared_fate`: all requests go to one host, so that one dead connection speaks for all.
+    pub fn new(idle_per_host: usize, shared_fate: bool) -> Self {
+        Http {
+            client: RefCell::new(Self::client(idle_per_host)),
+            idle_per_host,
+            shared_fate,
+        }
+    }
+
+    fn client(idle_per_host: usize) -> Client<HttpConnector, Full<Bytes>> {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(Duration::from_secs(2)));
+        Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(Duration::from_secs(30))
+            .pool_max_idle_per_host(idle_per_host)
+            .build(connector)
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        addr: &str,
+        path: &str,
+        body: Vec<u8>,
+        timeout: Duration,
+    ) -> Option<Answer> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{addr}{path}"))
+            .header("content-type", "application/msgpack")
+            .body(Full::new(Bytes::from(body)))
+            .ok()?;
+        let client = self.client.borrow().clone();
+        let exchange = async {
+            let response = client.request(request).await.ok()?;
+            let status = response.status().as_u16();
+            let body = response.into_body().collect().await.ok()?.to_bytes();
+            Some((status, body))
+        };
+        match tokio::time::timeout(timeout, exchange).await {
+            Ok(answer) => answer,
+            Err(_) => {
+                if self.shared_fate {
+                    *self.client.borrow_mut() = Self::client(self.idle_per_host);
+                }
+                None
+            }
+        }
+    }
+}
+
+fn parse<T: DeserializeOwned>(body: &Bytes) -> Option<T> {
+    protocol::decode(body).ok()
+}
+
+/// Percent-encodes what a query value may not hold as it is.
+fn escape(text: &str) -> String {
+    let mut escaped = String::with_capacity(text.len());
+    for byte in text.bytes() {
+        match byte {
+            b'a'..=b'z' | b'A'..=b'Z' | b'0'..=b'9' | b'-' | b'_' | b'.' | b'/' => {
+                escaped.push(byte as char)
+            }
+            _ => escaped.push_str(&format!("%{byte:02X}")),
+        }
+    }
+    escaped
+}
+
+/// Speaks to the state service.
+pub struct StateClient {
+    http: Http,
+    watch: Http,
+    addr: String,
+}
+
+impl StateClient {
+    pub fn new(addr: SocketAddrV4) -> Self {
+        StateClient {
+            http: Http::new(8, true),
+            watch: Http::new(1, true),
+            addr: addr.to_string(),
+        }
+    }
+
+    pub async fn call(
+        &self,
+        request: &StateRequest,
+        timeout: Duration,
+    ) -> Result<StateReply, StateError> {
+        let (method, path, body) = match request {
+            StateRequest::List {
+                prefix,
+                after,
+                limit,
+            } => {
+                let after = after
+                    .as_deref()
+                    .map(|key| format!("&after={}", escape(key)));
+                (
+                    Method::GET,
+                    format!(
+                        "/kv?starts={prefix}{}&limit={limit}",
+                        after.unwrap_or_default()
+                    ),
+                    Vec::new(),
+                )
+            }
+            StateRequest::Get { key } => (Method::GET, format!("/kv/{key}"), Vec::new()),
+            StateRequest::Txn(txn) => (Method::POST, "/txn".into(), protocol::encode(txn)),
+            StateRequest::Grant { life_ms } => (
+                Method::POST,
+                "/holds".into(),
+                protocol::encode(&LeaseRequest { life_ms: *life_ms }),
+            ),
+            StateRequest::Touch { lease } => (
+                Method::POST,
+                format!("/holds/{lease}/touch"),
+                EMPTY_MAP.to_vec(),
+            ),
+            StateRequest::Release { lease } => {
+                (Method::DELETE, format!("/holds/{lease}"), Vec::new())
+            }
+            StateRequest::Changes {
+                prefix,
+                after,
+                hold_ms,
+            } => (
+                Method::GET,
+                format!("/changes?starts={prefix}&after={after}&hold_ms={hold_ms}"),
+                Vec::new(),
+            ),
+        };
+        let pool = match request {
+            StateRequest::Changes { hold_ms, .. } if *hold_ms > 0 => &self.watch,
+            _ => &self.http,
+        };
+        let (status, body) = pool
+            .call(method, &self.addr, &path, body, timeout)
+            .await
+            .ok_or(StateError::NoAnswer)?;
+        let reply = match (request, status) {
+            (StateRequest::List { .. }, 200) => parse::<Page>(&body).map(StateReply::Page),
+            (StateRequest::Get { .. }, 200) => parse::<Row>(&body).map(StateReply::Row),
+            (StateRequest::Get { .. }, 404) => Some(StateReply::Missing),
+            (StateRequest::Txn(_), 200) => {
+                parse::<Committed>(&body).map(|done| StateReply::Committed(done.revision))
+            }
+            (StateRequest::Txn(_), 409) => {
+                parse::<Conflict>(&body).map(|conflict| StateReply::Conflict(conflict.failed))
+            }
+            (StateRequest::Txn(_), 400) => {
+                tracing::debug!(body = %String::from_utf8_lossy(&body), "transaction refused");
+                Some(StateReply::NoLease)
+            }
+            (StateRequest::Grant { .. }, 200) => {
+                parse::<Lease>(&body).map(|lease| StateReply::Granted(lease.id))
+            }
+            (StateRequest::Touch { .. } | StateRequest::Release { .. }, 200..=204) => {
+                Some(StateReply::Touched)
+            }
+            (StateRequest::Touch { .. } | StateRequest::Release { .. }, 404) => {
+                Some(StateReply::NoLease)
+            }
+            (StateRequest::Changes { .. }, 200) => parse::<Changes>(&body).map(StateReply::Changes),
+            (StateRequest::Changes { .. }, 410) => Some(StateReply::TooOld),
+            (_, status) => return Err(StateError::Refused(status)),
+        };
+        reply.ok_or(StateError::NoAnswer)
+    }
+}
+
+const EMPTY_MAP: &[u8] = &[0x80];
+
+pub struct CloudClient {
+    http: Http,
+    addr: String,
+}
+
+impl CloudClient {
+    pub fn new(addr: SocketAddrV4) -> Self {
+        CloudClient {
+            http: Http::new(2, true),
+            addr: addr.to_string(),
+        }
+    }
+
+    pub async fn call(
+        &self,
+        request: &CloudRequest,
+        timeout: Duration,
+    ) -> Result<CloudReply, CloudError> {
+        let (method, path, body) = match request {
+            CloudRequest::Types => (Method::GET, "/machine_types".into(), Vec::new()),
+            CloudRequest::Rent(rent) => (Method::POST, "/machines".into(), protocol::encode(rent)),
+            CloudRequest::Delete(names) => (
+                Method::POST,
+                "/machines/delete".into(),
+                protocol::encode(&MachineNames {
+                    machines: names.clone(),
+                }),
+            ),
+            CloudRequest::List { after } => {
+                let after = after
+                    .as_deref()
+                    .map(|name| format!("after={}&", escape(name)));
+                (
+                    Method::GET,
+                    format!("/machines?{}limit=500", after.unwrap_or_default()),
+                    Vec::new(),
+                )
+            }
+        };
+        let (status, body) = self
+            .http
+            .call(method, &self.addr, &path, body, timeout)
+            .await
+            .ok_or(CloudError::NoAnswer)?;
+        let reply = match (request, status) {
+            (CloudRequest::Types, 200) => parse(&body).map(CloudReply::Types),
+            (CloudRequest::Rent(_), 200) => {
+                parse::<MachineNames>(&body).map(|names| CloudReply::Rented(names.machines))
+            }
+            (CloudRequest::Rent(_), 503) => {
+                // "no capacity" is an answer; any other 503 is the cloud's own trouble.
+                if body.windows(11).any(|part| part == b"no capacity") {
+                    Some(CloudReply::NoCapacity)
+                } else {
+                    return Err(CloudError::Refused(503));
+                }
+            }
+            (CloudRequest::Delete(_), 200..=204) => Some(CloudReply::Deleted),
+            (CloudRequest::List { .. }, 200) => parse(&body).map(CloudReply::List),
+            (_, status) => return Err(CloudError::Refused(status)),
+        };
+        reply.ok_or(CloudError::NoAnswer)
+    }
+}
+
+pub struct WorkerClient {
+    http: Http,
+}
+
+impl Default for WorkerClient {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl WorkerClient {
+    pub fn new() -> Self {
+        WorkerClient {
+            http: Http::new(1, false),
+        }
+    }
+
+    /// Sends orders, or only asks for the report. None: no usable answer.
+    pub async fn call(
+        &self,
+        addr: &str,
+        orders: Option<&DirectOrders>,
+        timeout: Duration,
+    ) -> Option<WorkerReply> {
+        let (method, path, body) = match orders {
+            Some(orders) => (Method::POST, "/commands", protocol::encode(orders)),
+            None => (Method::GET, "/status", Vec::new()),
+        };
+        let (status, body) = self.http.call(method, addr, path, body, timeout).await?;
+        match status {
+            200 => parse(&body).map(WorkerReply::Executed),
+            409 => parse(&body).map(WorkerReply::Rejected),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/src/transport/server.rs
@@ -0,0 +1,133 @@
+//! The listener for users, workers and health checks.
+
+use std::convert::Infallible;
+
+use bytes::Bytes;
+use http::{Response, StatusCode};
+use tokio::{
+    net::TcpListener,
+    sync::{mpsc, oneshot},
+};
+use warp::{Filter, Rejection};
+
+use crate::{
+    coordination::{Answer, Ask},
+    protocol::{self, MAX_BODY, ids::JobId, job::Submission, worker::Report},
+};
+
+/// Where a request's answer goes.
+pub type AnswerTo = oneshot::Sender<Answer>;
+/// Requests from outside on their way to the owner.
+pub type Door = mpsc::UnboundedSender<(Ask, AnswerTo)>;
+
+fn plain(status: StatusCode) -> Response<Bytes> {
+    let mut response = Response::new(Bytes::new());
+    *response.status_mut() = status;
+    response
+}
+
+fn refused(status: StatusCode, error: &str) -> Response<Bytes> {
+    let mut response = Response::new(Bytes::from(protocol::encode(&serde_json::json!({
+        "error": error
+    }))));
+    *response.status_mut() = status;
+    response
+}
+
+async fn ask(door: Door, ask: Ask) -> Result<Response<Bytes>, Infallible> {
+    let (send, receive) = oneshot::channel();
+    if door.send((ask, send)).is_err() {
+        return Ok(plain(StatusCode::SERVICE_UNAVAILABLE));
+    }
+    let Ok(answer) = receive.await else {
+        return Ok(plain(StatusCode::SERVICE_UNAVAILABLE));
+    };
+    let mut response = Response::new(Bytes::from(answer.body));
+    *response.status_mut() =
+        StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    if let Some(seconds) = answer.retry_after_s {
+        response.headers_mut().insert("retry-after", seconds.into());
+    }
+    Ok(response)
+}
+
+async fn submit(door: Door, body: Bytes) -> Result<Response<Bytes>, Infallible> {
+    match Submission::from_body(&body) {
+        Ok(submission) => ask(door, Ask::Submit(Box::new(submission))).await,
+        Err(error) => Ok(refused(StatusCode::BAD_REQUEST, &error.to_string())),
+    }
+}
+
+async fn about(
+    door: Door,
+    id: String,
+    question: fn(JobId) -> Ask,
+) -> Result<Response<Bytes>, Infallible> {
+    match id.parse() {
+        Ok(id) => ask(door, question(id)).await,
+        Err(_) => Ok(refused(StatusCode::NOT_FOUND, "no such job")),
+    }
+}
+
+async fn check_in(door: Door, body: Bytes) -> Result<Response<Bytes>, Infallible> {
+    match protocol::decode::<Report>(&body) {
+        Ok(report) => ask(door, Ask::CheckIn(Box::new(report))).await,
+        Err(error) => {
+            tracing::warn!(%error, "a worker's report can't be read");
+            Ok(refused(StatusCode::BAD_REQUEST, &error.to_string()))
+        }
+    }
+}
+
+async fn unroutable(rejection: Rejection) -> Result<Response<Bytes>, Infallible> {
+    if rejection.find::<warp::reject::PayloadTooLarge>().is_some()
+        || rejection.find::<warp::reject::LengthRequired>().is_some()
+    {
+        // 413 would be sent again for a minute; a body this large is malformed for good.
+        return Ok(refused(StatusCode::BAD_REQUEST, "the body is too large"));
+    }
+    Ok(plain(StatusCode::NOT_FOUND))
+}
+
+/// Serves requests until the process ends.
+pub async fn serve(listener: TcpListener, door: Door) {
+    let with_door = warp::any().map(move || door.clone());
+    let body = || warp::body::content_length_limit(MAX_BODY).and(warp::body::bytes());
+    let submit = with_door
+        .clone()
+        .and(warp::path!("v2" / "runs"))
+        .and(warp::post())
+        .and(body())
+        .and_then(submit);
+    let poll = with_door
+        .clone()
+        .and(warp::path!("v2" / "runs" / String))
+        .and(warp::get())
+        .and_then(|door, id| about(door, id, Ask::Poll));
+    let cancel = with_door
+        .clone()
+        .and(warp::path!("v2" / "runs" / String / "abort"))
+        .and(warp::post())
+        .and_then(|door, id| about(door, id, Ask::Cancel));
+    let check_in = with_door
+        .clone()
+        .and(warp::path!("checkin"))
+        .and(warp::post())
+        .and(body())
+        .and_then(check_in);
+    let ready = with_door
+        .and(warp::path!("ready"))
+        .and(warp::get())
+        .and_then(|door| ask(door, Ask::Ready));
+    let routes = check_in
+        .or(poll)
+        .unify()
+        .or(submit)
+        .unify()
+        .or(cancel)
+        .unify()
+        .or(ready)
+        .unify()
+        .recover(unroutable);
+    warp::serve(routes).incoming(listener).run().await;
+}
