--- a/src/bookkeeping/books.rs
+++ b/src/bookkeeping/books.rs
@@ -285,6 +285,8 @@
     /// A direct command is under way.
     pub busy: bool,
     pub draining: bool,
+    /// Not heard of for longer than its reports take: nothing new is placed there.
+    pub silent: bool,
     /// Jobs that failed here since one last succeeded.
     pub failures: Vec<JobId>,
     pub avoid_until: Millis,
@@ -300,7 +302,7 @@
     }
 
     pub fn usable(&self) -> bool {
-        self.state == MachineState::Up && !self.draining && self.recall_at.is_none()
+        self.state == MachineState::Up && !self.draining && !self.silent && self.recall_at.is_none()
     }
 
     /// Whether a start of this attempt may still reach the worker, whatever its reports say.
@@ -550,6 +552,7 @@
             idle_since: now,
             busy: false,
             draining: false,
+            silent: false,
             failures: Vec::new(),
             avoid_until: 0,
         });
--- a/src/bookkeeping/store.rs
+++ b/src/bookkeeping/store.rs
@@ -2,7 +2,7 @@
 //!
 //! * `shared/`: followed by every node. `shared/job/<id>` is a job's record, `shared/leader` names
 //!   the leader (on its lease), `shared/term` holds the term, `shared/types` the machine types
-//!   as the cloud last told them.
+//!   as the cloud last told them, `shared/deputy/<node>` is a node's right to renew workers' leases.
 //! * `books/task/<id>/<chunk>`: the leader's notes on a stretch of a job's tasks.
 
 use serde::{Deserialize, Serialize};
@@ -15,6 +15,7 @@
 pub const LEADER: &str = "shared/leader";
 pub const TERM: &str = "shared/term";
 pub const TYPES: &str = "shared/types";
+const DEPUTY: &str = "shared/deputy/";
 pub const BOOKS: &str = "books/";
 const JOB: &str = "shared/job/";
 const TASK: &str = "books/task/";
@@ -27,6 +28,15 @@
     key.strip_prefix(JOB)?.parse().ok()
 }
 
+/// Held by a node on a lease of its own while it may renew workers' leases.
+pub fn deputy_key(label: &str) -> String {
+    format!("{DEPUTY}{label}")
+}
+
+pub fn parse_deputy_key(key: &str) -> Option<&str> {
+    key.strip_prefix(DEPUTY)
+}
+
 pub fn chunk_key(id: JobId, chunk: u32) -> String {
     format!("{TASK}{id}/{chunk:05}")
 }
@@ -54,6 +64,12 @@
     pub term: u64,
 }
 
+/// A node that may renew workers' leases.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DeputyRecord {
+    pub lease: u64,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TermRecord {
     pub term: u64,
--- /dev/null
+++ b/src/coordination/deputy.rs
@@ -0,0 +1,284 @@
+//! Deputies: every node may keep workers alive, so that a worker survives when only its way to the
+//! leader, or the leader itself, is gone.
+//!
+//! A node may answer reports with 200, without orders, while it surely holds `shared/deputy/<node>`
+//! on a lease of its own, and while its view of the jobs is so new that a cancellation told elsewhere
+//! can still be carried out in time. In turn the leader takes a silent machine's tasks for gone only
+//! when no node can have renewed it: each node that holds such a key has said so and promised to
+//! leave that session alone, and whoever held one before has lost it for a whole lease.
+
+use std::collections::HashMap;
+
+use super::{
+    Answer, AskId, Effect, Node, Renewal, Revocation, StateTag, directory::Entry, leader::DRIFT,
+};
+use crate::{
+    bookkeeping::{
+        Millis, millis,
+        store::{self, DeputyRecord},
+    },
+    protocol::{
+        job::JobStatus,
+        state::{StateError, StateReply, StateRequest, Txn, Urgency, Write},
+        worker::{Order, Orders, Redirect, Report, TaskState},
+    },
+};
+
+/// The life of a deputy's lease.
+const LIFE: Millis = 20_000;
+const TOUCH: Millis = 2000;
+const TIMEOUT: Millis = 1500;
+const RETRY: Millis = 400;
+/// A leader that has not been heard of for this long may be out of the workers' reach too.
+const LEADER_SILENT: Millis = 2600;
+/// A worker that comes back this soon after it was sent to the leader did not get through.
+const BOUNCE: Millis = 9000;
+
+#[derive(Default)]
+pub struct Deputy {
+    lease: Option<u64>,
+    held: bool,
+    /// The send time of the last request that proved the lease alive.
+    ok: Millis,
+    busy: bool,
+    after: Millis,
+    pub leader_heard: Option<Millis>,
+    /// When each worker's lease was last renewed here, and of which session.
+    renewed: HashMap<String, (Millis, u64)>,
+    /// When each worker was last sent to the leader.
+    sent_on: HashMap<String, Millis>,
+    /// Sessions not to be renewed, and when that was promised.
+    revoked: HashMap<String, (u64, Millis)>,
+}
+
+impl Node {
+    /// Gets and keeps the right to renew.
+    pub(super) fn keep_deputy(&mut self) {
+        if self.deputy.busy || self.deputy.after > self.now || !self.directory.loaded() {
+            return;
+        }
+        self.deputy.busy = true;
+        match (self.deputy.lease, self.deputy.held) {
+            (None, _) => self.state(
+                StateTag::DeputyGrant,
+                StateRequest::Grant { life_ms: LIFE },
+                Urgency::Vital,
+                TIMEOUT,
+            ),
+            (Some(lease), false) => {
+                let txn = Txn {
+                    conditions: Vec::new(),
+                    writes: vec![Write::Put {
+                        key: store::deputy_key(&self.config.label),
+                        value: store::to_value(&DeputyRecord { lease }),
+                        lease: Some(lease),
+                    }],
+                };
+                self.state(
+                    StateTag::DeputyPut { lease },
+                    StateRequest::Txn(txn),
+                    Urgency::Vital,
+                    TIMEOUT,
+                );
+            }
+            (Some(lease), true) => self.state(
+                StateTag::DeputyTouch { lease },
+                StateRequest::Touch { lease },
+                Urgency::Vital,
+                TIMEOUT,
+            ),
+        }
+    }
+
+    fn deputy_next(&mut self, wait: Millis) {
+        self.deputy.busy = false;
+        self.deputy.after = self.now + wait;
+    }
+
+    fn deputy_lost(&mut self) {
+        self.deputy.lease = None;
+        self.deputy.held = false;
+        self.deputy_next(RETRY);
+    }
+
+    pub(super) fn deputy_granted(
+        &mut self,
+        sent_at: Millis,
+        result: Result<StateReply, StateError>,
+    ) {
+        match result {
+            Ok(StateReply::Granted(lease)) => {
+                self.deputy.lease = Some(lease);
+                self.deputy.held = false;
+                self.deputy.ok = sent_at;
+                self.deputy_next(0);
+            }
+            _ => self.deputy_next(RETRY),
+        }
+    }
+
+    pub(super) fn deputy_put(&mut self, lease: u64, result: Result<StateReply, StateError>) {
+        if self.deputy.lease != Some(lease) {
+            return;
+        }
+        match result {
+            Ok(StateReply::Committed(_)) => {
+                self.deputy.held = true;
+                self.deputy_next(TOUCH);
+            }
+            Ok(StateReply::NoLease) => self.deputy_lost(),
+            // The same write again does no harm.
+            _ => self.deputy_next(RETRY),
+        }
+    }
+
+    pub(super) fn deputy_touched(
+        &mut self,
+        lease: u64,
+        sent_at: Millis,
+        result: Result<StateReply, StateError>,
+    ) {
+        if self.deputy.lease != Some(lease) {
+            return;
+        }
+        match result {
+            Ok(StateReply::Touched) => {
+                self.deputy.ok = self.deputy.ok.max(sent_at);
+                self.deputy_next(TOUCH);
+            }
+            Ok(StateReply::NoLease) => self.deputy_lost(),
+            _ => self.deputy_next(RETRY),
+        }
+    }
+
+    /// Whether this node may answer reports with 200: its key surely is there, and a cancellation
+    /// told elsewhere just after the last sync can still be carried out in time by letting the
+    /// leases run out.
+    pub(super) fn may_renew(&self) -> bool {
+        let workers = &self.config.settings.workers;
+        let allowance = (workers.cancel_s - workers.lease_s) * (1.0 - DRIFT) - 1.5;
+        let held = self.deputy.held && self.now + 500 < self.deputy.ok + LIFE;
+        held && self
+            .sync
+            .ok
+            .is_some_and(|ok| self.now < ok + millis(allowance.max(0.0)))
+    }
+
+    /// A report came to a node that does not lead.
+    pub(super) fn check_in_as_deputy(&mut self, id: AskId, report: &Report) {
+        let now = self.now;
+        let leader = self
+            .directory
+            .leader
+            .as_ref()
+            .map(|(record, _)| record.node.clone())
+            .filter(|node| *node != self.config.label);
+        let heard = self
+            .deputy
+            .leader_heard
+            .is_some_and(|at| at + LEADER_SILENT > now);
+        let bounced = self
+            .deputy
+            .sent_on
+            .get(&report.machine)
+            .is_some_and(|at| at + BOUNCE > now);
+        if leader.is_some() && heard && !bounced {
+            self.deputy.sent_on.insert(report.machine.clone(), now);
+            return self.answer(id, Answer::with(421, &Redirect { leader }));
+        }
+        // Every so often it is sent on again: the way may be open by now.
+        if self
+            .deputy
+            .sent_on
+            .get(&report.machine)
+            .is_some_and(|at| at + BOUNCE <= now)
+        {
+            self.deputy.sent_on.remove(&report.machine);
+        }
+        match self.renew(report) {
+            Some(orders) => self.answer(id, Answer::with(200, &orders)),
+            None if leader.is_some() => self.answer(id, Answer::with(421, &Redirect { leader })),
+            None => self.answer(id, Answer::error(503, "no leader")),
+        }
+    }
+
+    /// Renews a worker's lease, where that is allowed, and stops what its user has cancelled.
+    pub(super) fn renew(&mut self, report: &Report) -> Option<Orders> {
+        let now = self.now;
+        if !self.may_renew() || report.token > self.directory.term || self.directory.term == 0 {
+            return None;
+        }
+        if let Some(&(session, at)) = self.deputy.revoked.get(&report.machine) {
+            // A session that is not known was promised for as long as one can live on.
+            let any = session == 0 && now < at + self.worker_lease() + 1000;
+            if any || report.session <= session {
+                return None;
+            }
+        }
+        self.renewed(report);
+        let orders = report
+            .tasks
+            .iter()
+            .filter(|task| task.state != TaskState::Ended)
+            .filter(|task| {
+                matches!(
+                    self.directory.get(task.task.job),
+                    Some(Entry::Final(JobStatus::Cancelled))
+                )
+            })
+            .map(|task| Order::Stop {
+                task: task.task,
+                attempt: task.attempt,
+                grace_s: 0.0,
+            })
+            .collect();
+        Some(Orders {
+            token: self.directory.term,
+            orders,
+        })
+    }
+
+    /// Notes that a report was answered with 200, by the leader as by a deputy: a later leader will
+    /// ask.
+    pub(super) fn renewed(&mut self, report: &Report) {
+        self.deputy
+            .renewed
+            .insert(report.machine.clone(), (self.now, report.session));
+    }
+
+    /// How long a worker's lease lasts at the most, by our clock, after it was renewed.
+    pub(super) fn worker_lease(&self) -> Millis {
+        millis(self.config.settings.workers.lease_s * (1.0 + DRIFT) + 0.3)
+    }
+
+    /// The leader asks about silent machines: from now on they are not renewed here, and it learns
+    /// when they last were.
+    pub(super) fn revoke(&mut self, id: AskId, revocation: Revocation) {
+        let now = self.now;
+        if self
+            .leading
+            .as_ref()
+            .is_some_and(|l| revocation.term > l.term)
+        {
+            // The asker leads now.
+            self.step_down();
+        }
+        let horizon = self.worker_lease() + 60_000;
+        self.deputy.renewed.retain(|_, (at, _)| *at + horizon > now);
+        self.deputy.sent_on.retain(|_, at| *at + horizon > now);
+        let mut renewals = Vec::new();
+        if revocation.term >= self.directory.term {
+            for (machine, session) in revocation.machines {
+                let renewed = self.deputy.renewed.get(&machine).copied();
+                // A process that had this label before may have renewed it up to our start.
+                let age_ms = renewed.map_or(now, |(at, _)| now.saturating_sub(at));
+                // One that lives by our renewals is not promised away.
+                if age_ms > self.worker_lease() / 2 {
+                    self.deputy.revoked.insert(machine.clone(), (session, now));
+                }
+                renewals.push(Renewal { machine, age_ms });
+            }
+        }
+        self.out.push(Effect::Revoked(id, renewals));
+    }
+}
--- a/src/coordination/directory.rs
+++ b/src/coordination/directory.rs
@@ -56,15 +56,19 @@
     pub term: u64,
     pub term_version: u64,
     pub types: Option<(MachineTypes, u64)>,
+    /// Nodes that may renew workers' leases, with the version of their keys.
+    pub deputies: HashMap<String, u64>,
 }
 
 /// What a change in the directory means to the leader.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
     Job(JobId),
     Leader,
     Term,
     Types,
+    /// A deputy's key is gone.
+    DeputyGone(String),
     Nothing,
 }
 
@@ -94,6 +98,11 @@
                 }
             };
         }
+        if let Some(label) = store::parse_deputy_key(key) {
+            let known = self.deputies.entry(label.to_owned()).or_default();
+            *known = version.max(*known);
+            return Change::Nothing;
+        }
         match key {
             store::LEADER => {
                 if self
@@ -159,8 +168,19 @@
                 version,
             } => self.put(&key, value, version),
             Event::Delete { key, version } => {
-                // The leader's key goes with its lease; nothing else here is ever deleted. An event
-                // may be older than a key that was read since.
+                // Leases' keys go with them; nothing else here is ever deleted. An event may be older
+                // than a key that was read since.
+                if let Some(label) = store::parse_deputy_key(&key) {
+                    if self
+                        .deputies
+                        .get(label)
+                        .is_some_and(|known| *known < version)
+                    {
+                        self.deputies.remove(label);
+                        return Change::DeputyGone(label.to_owned());
+                    }
+                    return Change::Nothing;
+                }
                 if key == store::LEADER
                     && self
                         .leader
@@ -186,6 +206,7 @@
         /// The revision of the first page: later changes are asked for from there on.
         revision: Option<u64>,
         leader_seen: bool,
+        deputies_seen: Vec<String>,
     },
     Done,
 }
@@ -225,6 +246,7 @@
                 self.loading = Loading::Reading {
                     revision: None,
                     leader_seen: false,
+                    deputies_seen: Vec::new(),
                 };
                 self.watch = Watch::default();
                 self.load_page(None);
@@ -259,6 +281,7 @@
         let Loading::Reading {
             revision,
             leader_seen,
+            deputies_seen,
         } = &mut self.loading
         else {
             return;
@@ -275,15 +298,18 @@
         let first = *revision.get_or_insert(page.revision);
         let last_key = page.rows.last().map(|row| row.key.clone());
         let mut seen = *leader_seen;
+        let mut deputies = std::mem::take(deputies_seen);
         let mut changes = Vec::new();
         for row in page.rows {
             seen |= row.key == store::LEADER;
+            deputies.extend(store::parse_deputy_key(&row.key).map(str::to_owned));
             changes.push(self.directory.put(&row.key, row.value, row.version));
         }
         if page.more && last_key.is_some() {
             self.loading = Loading::Reading {
                 revision: Some(first),
                 leader_seen: seen,
+                deputies_seen: deputies,
             };
             self.load_page(last_key);
         } else {
@@ -292,6 +318,17 @@
                 self.directory.leader = None;
                 changes.push(Change::Leader);
             }
+            let gone: Vec<String> = self
+                .directory
+                .deputies
+                .keys()
+                .filter(|label| !deputies.contains(label))
+                .cloned()
+                .collect();
+            for label in gone {
+                self.directory.deputies.remove(&label);
+                changes.push(Change::DeputyGone(label));
+            }
             self.directory.revision = first;
             self.directory.loaded = true;
             self.loading = Loading::Done;
@@ -437,6 +474,7 @@
                     self.types = types.types.clone();
                 }
             }
+            Change::DeputyGone(label) => self.deputy_gone(label),
             Change::Nothing => {}
         }
     }
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -1,6 +1,8 @@
 //! The leader and its workers: what reports mean, which orders go out, when silence means death.
 
-use super::{Answer, AskId, Effect, Leading, Node, WorkerTag, leader::DRIFT};
+use std::collections::HashMap;
+
+use super::{Answer, AskId, Effect, Leading, Node, Renewal, Revocation, WorkerTag};
 use crate::{
     bookkeeping::{
         Millis,
@@ -10,13 +12,20 @@
     protocol::{
         ids::TaskId,
         job::Kind,
-        worker::{
-            Cause, DirectOrders, Order, Orders, Redirect, Report, TaskReport, TaskState,
-            WorkerReply,
-        },
+        worker::{Cause, DirectOrders, Order, Orders, Report, TaskReport, TaskState, WorkerReply},
     },
 };
 
+/// A member's word about a machine that is silent.
+pub struct Ack {
+    sent_at: Millis,
+    /// When the lease has run out, as far as that member may have renewed it.
+    until: Millis,
+}
+
+const ASK_DEPUTIES: Millis = 1000;
+/// A promise older than this is asked for again.
+const ACK_FRESH: Millis = 5000;
 const DIRECT_TIMEOUT: Millis = 3000;
 /// Keeps an answer to a report within its limit.
 const MAX_ORDERS: usize = 400;
@@ -30,24 +39,17 @@
 impl Node {
     pub(super) fn check_in(&mut self, id: AskId, report: Report) {
         if self.leading.is_none() {
-            let leader = self
-                .directory
-                .leader
-                .as_ref()
-                .map(|(record, _)| record.node.clone())
-                .filter(|node| *node != self.config.label);
-            let answer = match leader {
-                Some(_) => Answer::with(421, &Redirect { leader }),
-                None => Answer::error(503, "no leader"),
-            };
-            return self.answer(id, answer);
+            return self.check_in_as_deputy(id, &report);
         }
-        if !self.may_answer() {
+        if !self.may_renew() {
             return self.answer(id, Answer::error(503, "not entitled"));
         }
         let orders = self.report(&report, true);
         let answer = match orders {
-            Some(orders) => Answer::with(200, &orders),
+            Some(orders) => {
+                self.renewed(&report);
+                Answer::with(200, &orders)
+            }
             None => Answer::error(503, "not now"),
         };
         self.answer(id, answer);
@@ -57,7 +59,7 @@
     /// must not be answered with 200.
     fn report(&mut self, report: &Report, checkin: bool) -> Option<Orders> {
         let now = self.now;
-        let lease_ms = millis(self.config.settings.workers.lease_s * (1.0 + DRIFT) + 0.3);
+        let lease_ms = self.worker_lease();
         let may_start = self.may_start();
         let books_complete = self.sync.ok.is_some();
         let leading = self.leading.as_mut()?;
@@ -106,17 +108,13 @@
         machine.token = machine.token.max(report.token);
         machine.addr = Some(report.addr.clone());
         machine.heard_at = Some(now);
+        machine.silent = false;
         if checkin {
             machine.checkins += 1;
         }
         // The worker's lease counts from when it sent the last report that was answered: never
-        // later than now. A worker that has seen our token obeys nobody else; until then a deposed
-        // leader may have renewed it.
-        machine.lease_until = if machine.token >= first_term {
-            now + lease_ms
-        } else {
-            machine.lease_until.max(now + lease_ms)
-        };
+        // later than now, as far as this node is concerned.
+        machine.lease_until = now + lease_ms;
         if let Some(notice) = report.notice_s {
             let at = now + millis(notice.clamp(0.0, 3600.0));
             if machine.recall_at.is_none() {
@@ -268,21 +266,40 @@
     /// Notices leases that ran out, notices that come due, and starts in doubt.
     pub(super) fn watch_machines(&mut self) {
         let now = self.now;
+        let lease_ms = self.worker_lease();
+        let silence = millis(self.config.settings.workers.report_s * 1.25 + 2.0);
+        // Keys that a sync sent after a lease's end does not show were not there while it lasted.
+        let checked = self.sync.ok.unwrap_or(0);
+        let mut deputies = self.directory.deputies.clone();
+        deputies.remove(&self.config.label);
+        let deputies = &deputies;
+        self.ask_deputies(deputies.keys().cloned().collect());
         let Some(leading) = &mut self.leading else {
             return;
         };
-        let term = leading.term;
-        let mut fence = false;
-        let Some(books) = &mut leading.books else {
+        let Leading {
+            books: Some(books),
+            term,
+            gone,
+            acks,
+            ..
+        } = leading.as_mut()
+        else {
             return;
         };
+        let term = *term;
+        let mut fence = false;
         for number in 0..books.machines.len() {
             let index = MachineIx(number as u32);
-            let machine = &books.machines[number];
+            let machine = &mut books.machines[number];
             if machine.state != MachineState::Up {
                 continue;
             }
-            if now > machine.lease_until {
+            machine.silent = machine.heard_at.is_none_or(|at| at + silence < now);
+            if now > machine.lease_until
+                && checked >= machine.lease_until
+                && nobody_renews(deputies, gone, acks, &machine.name, now, lease_ms)
+            {
                 tracing::warn!(
                     machine = machine.name,
                     tasks = machine.attempts.len(),
@@ -300,6 +317,77 @@
         leading.fence_wanted |= fence;
     }
 
+    /// Asks the other deputies about machines that are silent, in time before their leases end.
+    fn ask_deputies(&mut self, labels: Vec<String>) {
+        let now = self.now;
+        let silent_for = self.worker_lease().saturating_sub(6000);
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        if leading.asked_deputies + ASK_DEPUTIES > now {
+            return;
+        }
+        let Some(books) = &leading.books else { return };
+        let machines: Vec<(String, u64)> = books
+            .machines
+            .iter()
+            .filter(|m| m.state == MachineState::Up)
+            .filter(|m| m.lease_until < now + 6000 && silent_for > 0)
+            .map(|m| (m.name.clone(), m.session))
+            .collect();
+        if machines.is_empty() {
+            return;
+        }
+        leading.asked_deputies = now;
+        let (lease, term) = (leading.lease, leading.term);
+        self.want_sync();
+        for label in labels {
+            self.out.push(Effect::Revoke {
+                lease,
+                label,
+                revocation: Revocation {
+                    term,
+                    machines: machines.clone(),
+                },
+            });
+        }
+    }
+
+    pub(super) fn revoked(
+        &mut self,
+        lease: u64,
+        label: String,
+        sent_at: Millis,
+        renewals: Option<Vec<Renewal>>,
+    ) {
+        if !self.leads(lease) {
+            return;
+        }
+        let (now, lease_ms) = (self.now, self.worker_lease());
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        for renewal in renewals.into_iter().flatten() {
+            // Its clock may run slower than ours.
+            let age = renewal.age_ms - renewal.age_ms / 500;
+            let until = (now + lease_ms).saturating_sub(age);
+            leading
+                .acks
+                .insert((label.clone(), renewal.machine), Ack { sent_at, until });
+        }
+        leading.acks.retain(|_, ack| ack.sent_at + 60_000 > now);
+    }
+
+    pub(super) fn deputy_gone(&mut self, label: String) {
+        let now = self.now;
+        if label == self.config.label {
+            return;
+        }
+        if let Some(leading) = &mut self.leading {
+            leading.gone.insert(label, now);
+        }
+    }
+
     /// Asks a machine for its report, without giving orders.
     pub(super) fn probe(&mut self, name: String, addr: String) {
         let Some(leading) = &self.leading else { return };
@@ -318,6 +406,22 @@
     }
 }
 
+/// Whether no other node can have renewed a machine's lease within the time it lasts.
+fn nobody_renews(
+    deputies: &HashMap<String, u64>,
+    gone: &HashMap<String, Millis>,
+    acks: &HashMap<(String, String), Ack>,
+    machine: &str,
+    now: Millis,
+    lease_ms: Millis,
+) -> bool {
+    let gone = gone.values().all(|at| at + lease_ms < now);
+    gone && deputies.keys().all(|label| {
+        acks.get(&(label.clone(), machine.to_owned()))
+            .is_some_and(|ack| ack.sent_at + ACK_FRESH > now && ack.until < now)
+    })
+}
+
 fn find(books: &Books, on: MachineIx, task: TaskId, attempt: u64) -> Option<usize> {
     let job = *books.job_index.get(&task.job)?;
     books
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -6,12 +6,14 @@
 
 use std::collections::{HashMap, HashSet};
 
-use super::{Effect, JobProgress, Node, Progress, StateTag, directory::Entry, renting::Renting};
+use super::{
+    Effect, JobProgress, Node, Progress, StateTag, directory::Entry, fleet::Ack, renting::Renting,
+};
 use crate::{
     bookkeeping::{
         Millis,
         books::{Attempt, Books, JobIx, MachineState, Phase, TypeIx},
-        millis, scheduler,
+        scheduler,
         store::{self, ChunkRecord, JobRecord, LeaderRecord, Note, TermRecord},
     },
     protocol::{
@@ -94,6 +96,11 @@
     preempted_at: Millis,
     types_written: u64,
     pub renting: Renting,
+    /// Deputies whose keys went since the takeover, and when that was seen.
+    pub gone: HashMap<String, Millis>,
+    /// What members say about silent machines, by member and machine.
+    pub acks: HashMap<(String, String), Ack>,
+    pub asked_deputies: Millis,
 }
 
 impl Leading {
@@ -128,15 +135,6 @@
             .is_some_and(|fresh| self.now + margin < fresh + LEASE)
     }
 
-    /// Workers may be kept alive until a cancellation told elsewhere, just after the last sync,
-    /// could no longer be carried out in time by letting their leases run out.
-    pub(super) fn may_answer(&self) -> bool {
-        let workers = &self.config.settings.workers;
-        let allowance = (workers.cancel_s - workers.lease_s) * (1.0 - DRIFT) - 1.5;
-        self.fresh()
-            .is_some_and(|fresh| self.now < fresh + millis(allowance.max(0.0)))
-    }
-
     /// The lease of the state service under which this node leads; tags carry it, so that answers
     /// meant for an earlier leadership are void.
     pub(super) fn leads(&self, lease: u64) -> bool {
@@ -344,6 +342,9 @@
             preempted_at: self.now,
             types_written: 0,
             renting: Renting::default(),
+            gone: HashMap::new(),
+            acks: HashMap::new(),
+            asked_deputies: 0,
         }));
         self.out.push(Effect::Leading(true));
         // Jobs accepted or cancelled up to now must be known before the books are made.
@@ -436,7 +437,9 @@
             active,
             "books rebuilt"
         );
-        let until = leading.takeover_at + self.silence_after_takeover();
+        // Whoever was not a deputy any more at the takeover renewed nothing since; those who are
+        // will be asked. A report answered while the books were made counts until now.
+        let until = self.now + self.worker_lease();
         for machine in &mut books.machines {
             machine.lease_until = until;
         }
@@ -445,12 +448,6 @@
         self.list_machines();
     }
 
-    /// A worker that has not reported to this leader may have been kept alive by a deposed one,
-    /// which may act until a cancellation told just after its last sync would be broken.
-    pub(super) fn silence_after_takeover(&self) -> Millis {
-        millis(self.config.settings.workers.cancel_s * (1.0 + DRIFT) + 0.5)
-    }
-
     /// A job was accepted, done or cancelled.
     pub(super) fn job_changed(&mut self, id: JobId) {
         let Some(books) = self.leading.as_mut().and_then(|l| l.books.as_mut()) else {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -3,6 +3,7 @@
 //! [`Node::step`] takes a batch of commands and the time and returns what is to be done. It does
 //! no I/O, reads no clock and draws no random numbers, so that a history can be played again.
 
+mod deputy;
 mod directory;
 mod fleet;
 mod leader;
@@ -84,6 +85,22 @@
     pub jobs: Vec<JobProgress>,
 }
 
+/// Machines that the leader has not heard of for long: it wants to know that nobody keeps them
+/// alive.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Revocation {
+    pub term: u64,
+    /// Name and session; session 0: not known.
+    pub machines: Vec<(String, u64)>,
+}
+
+/// How long ago a node last renewed a machine's lease, at the latest.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Renewal {
+    pub machine: String,
+    pub age_ms: u64,
+}
+
 #[derive(Debug)]
 pub enum Command {
     Ask(AskId, Ask),
@@ -102,6 +119,15 @@
         result: Option<WorkerReply>,
     },
     Progress(Progress),
+    /// The leader asks what this node has renewed, and that it renew these no more.
+    Revoke(AskId, Revocation),
+    /// A member's answer to that; `None`: no answer.
+    Revoked {
+        lease: u64,
+        label: String,
+        sent_at: Millis,
+        renewals: Option<Vec<Renewal>>,
+    },
     Tick,
 }
 
@@ -126,6 +152,12 @@
         timeout_ms: u64,
     },
     Tell(Progress),
+    Revoke {
+        lease: u64,
+        label: String,
+        revocation: Revocation,
+    },
+    Revoked(AskId, Vec<Renewal>),
     /// How much of the services' limits this node may use.
     Leading(bool),
 }
@@ -151,6 +183,9 @@
     FenceCheck { lease: u64 },
     Sweep { lease: u64, jobs: Vec<JobId> },
     Types,
+    DeputyGrant,
+    DeputyPut { lease: u64 },
+    DeputyTouch { lease: u64 },
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -199,6 +234,7 @@
     types_asked: Option<Millis>,
     types_known_at: Option<Millis>,
     campaign: leader::Campaign,
+    deputy: deputy::Deputy,
     leading: Option<Box<Leading>>,
     progress: HashMap<JobId, JobProgress>,
 }
@@ -220,6 +256,7 @@
             types_asked: None,
             types_known_at: None,
             campaign: leader::Campaign::default(),
+            deputy: deputy::Deputy::default(),
             leading: None,
             progress: HashMap::new(),
         }
@@ -248,6 +285,13 @@
             Command::Cloud { tag, result } => self.cloud_answered(tag, result),
             Command::Worker { tag, result } => self.worker_answered(tag, result),
             Command::Progress(progress) => self.heard_progress(progress),
+            Command::Revoke(id, revocation) => self.revoke(id, revocation),
+            Command::Revoked {
+                lease,
+                label,
+                sent_at,
+                renewals,
+            } => self.revoked(lease, label, sent_at, renewals),
             Command::Tick => {}
         }
     }
@@ -279,6 +323,9 @@
             StateTag::FenceCheck { lease } => self.fence_checked(lease, result),
             StateTag::Sweep { lease, jobs } => self.swept(lease, &jobs, result),
             StateTag::Types => {}
+            StateTag::DeputyGrant => self.deputy_granted(sent_at, result),
+            StateTag::DeputyPut { lease } => self.deputy_put(lease, result),
+            StateTag::DeputyTouch { lease } => self.deputy_touched(lease, sent_at, result),
         }
     }
 
@@ -286,6 +333,7 @@
     fn advance(&mut self) {
         self.ask_types();
         self.follow();
+        self.keep_deputy();
         self.campaign();
         self.lead();
     }
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -317,6 +317,7 @@
         if progress.term < self.directory.term {
             return;
         }
+        self.deputy.leader_heard = Some(self.now);
         self.progress = progress
             .jobs
             .into_iter()
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,7 +1,6 @@
 //! Ties the layers together: one owner of all state, fed through a queue of commands.
 
 use std::{
-    cell::RefCell,
     collections::HashMap,
     rc::Rc,
     time::{Duration, SystemTime, UNIX_EPOCH},
@@ -16,7 +15,7 @@
 
 use crate::{
     config::Config,
-    coordination::{Answer, AskId, Command, Effect, Node, Now},
+    coordination::{Answer, Ask, AskId, Command, Effect, Node, Now, Renewal, Revocation},
     protocol::{
         cloud::{CloudError, CloudRequest},
         state::{StateError, StateRequest, Urgency},
@@ -66,19 +65,20 @@
             })?;
     let (commands, queue) = mpsc::unbounded_channel();
     let (door, asked) = mpsc::unbounded_channel();
+    let (questions, questioned) = mpsc::unbounded_channel();
     tokio::spawn(server::serve(listener, door));
     let mesh_addr = config.mesh_addr;
     let to_owner = commands.clone();
     tokio::spawn(async move {
         loop {
-            if let Err(error) = mesh::serve(mesh_addr, to_owner.clone()).await {
+            if let Err(error) = mesh::serve(mesh_addr, to_owner.clone(), questions.clone()).await {
                 tracing::error!(%error, "the mesh does not listen");
             }
             tokio::time::sleep(Duration::from_secs(1)).await;
         }
     });
     let io = Rc::new(Io::new(&config, commands));
-    own(Node::new(config), io, queue, asked).await;
+    own(Node::new(config), io, queue, asked, questioned).await;
     Ok(())
 }
 
@@ -87,11 +87,13 @@
     mut node: Node,
     io: Rc<Io>,
     mut queue: mpsc::UnboundedReceiver<Command>,
-    mut asked: mpsc::UnboundedReceiver<(crate::coordination::Ask, oneshot::Sender<Answer>)>,
+    mut asked: mpsc::UnboundedReceiver<(Ask, oneshot::Sender<Answer>)>,
+    mut questioned: mpsc::UnboundedReceiver<(Revocation, oneshot::Sender<Vec<Renewal>>)>,
 ) {
     let mut tick = tokio::time::interval(TICK);
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut answers: HashMap<AskId, oneshot::Sender<Answer>> = HashMap::new();
+    let mut renewals: HashMap<AskId, oneshot::Sender<Vec<Renewal>>> = HashMap::new();
     let mut next_ask: AskId = 0;
     let mut batch = Vec::with_capacity(BATCH);
     let mut asks = Vec::with_capacity(BATCH);
@@ -100,6 +102,11 @@
             biased;
             _ = queue.recv_many(&mut batch, BATCH) => {}
             _ = asked.recv_many(&mut asks, BATCH) => {}
+            Some((revocation, reply)) = questioned.recv() => {
+                next_ask += 1;
+                renewals.insert(next_ask, reply);
+                batch.push(Command::Revoke(next_ask, revocation));
+            }
             _ = tick.tick() => batch.push(Command::Tick),
         }
         for (ask, answer) in asks.drain(..) {
@@ -121,6 +128,11 @@
                         let _ = waiting.send(answer);
                     }
                 }
+                Effect::Revoked(id, answer) => {
+                    if let Some(waiting) = renewals.remove(&id) {
+                        let _ = waiting.send(answer);
+                    }
+                }
                 effect => io.perform(effect),
             }
         }
@@ -135,13 +147,11 @@
     cloud: CloudClient,
     workers: WorkerClient,
     members: mesh::Members,
-    addrs: Vec<std::net::SocketAddrV4>,
+    addrs: HashMap<String, std::net::SocketAddrV4>,
     requests: Bucket,
     writes: Bucket,
     cloud_requests: Bucket,
     limits: Limits,
-    /// Held while no request to a service may be sent twice at once.
-    leading: RefCell<bool>,
 }
 
 struct Limits {
@@ -173,20 +183,23 @@
             write_rps: config.settings.state.write_rps,
             cloud_rps: config.settings.cloud.rps,
         };
-        let addrs: Vec<_> = config.members.iter().map(|member| member.address).collect();
+        let addrs: HashMap<_, _> = config
+            .members
+            .iter()
+            .map(|member| (member.label.clone(), member.address))
+            .collect();
         Io {
             began: Instant::now(),
             owner,
             state: StateClient::new(config.services.state),
             cloud: CloudClient::new(config.services.cloud),
             workers: WorkerClient::new(),
-            members: mesh::Members::new(addrs.iter().copied()),
+            members: mesh::Members::new(addrs.values().copied()),
             addrs,
             requests: Bucket::new(limits.part(limits.rps, false)),
             writes: Bucket::new(limits.part(limits.write_rps, false)),
             cloud_requests: Bucket::new(limits.part(limits.cloud_rps, false)),
             limits,
-            leading: RefCell::new(false),
         }
     }
 
@@ -235,19 +248,37 @@
                 });
             }
             Effect::Tell(progress) => {
-                for addr in &self.addrs {
+                for addr in self.addrs.values() {
                     self.members.tell(*addr, &progress);
                 }
             }
+            Effect::Revoke {
+                lease,
+                label,
+                revocation,
+            } => {
+                let Some(addr) = self.addrs.get(&label).copied() else {
+                    return;
+                };
+                tokio::task::spawn_local(async move {
+                    let sent_at = io.now();
+                    let renewals = io.members.revoke(addr, revocation).await;
+                    let _ = io.owner.send(Command::Revoked {
+                        lease,
+                        label,
+                        sent_at,
+                        renewals,
+                    });
+                });
+            }
             Effect::Leading(leading) => {
-                self.leading.replace(leading);
                 let limits = &self.limits;
                 self.requests.set_rate(limits.part(limits.rps, leading));
                 self.writes.set_rate(limits.part(limits.write_rps, leading));
                 self.cloud_requests
                     .set_rate(limits.part(limits.cloud_rps, leading));
             }
-            Effect::Answer(..) => {}
+            Effect::Answer(..) | Effect::Revoked(..) => {}
         }
     }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -47,7 +47,10 @@
         return ExitCode::SUCCESS;
     }
     tracing_subscriber::fmt()
-        .with_env_filter(EnvFilter::new(format!("error,warp=off,dalelb={}", cli.log_level)))
+        .with_env_filter(EnvFilter::new(format!(
+            "error,warp=off,dalelb={}",
+            cli.log_level
+        )))
         .with_writer(std::io::stderr)
         .with_ansi(false)
         .without_time()
--- a/src/protocol/job.rs
+++ b/src/protocol/job.rs
@@ -91,7 +91,8 @@
             Ok(())
         };
         let amount = |field, value: f64, zero: bool| {
-            if !value.is_finite() || !(0.0..=MAX_AMOUNT).contains(&value) || (value == 0.0 && !zero) {
+            if !value.is_finite() || !(0.0..=MAX_AMOUNT).contains(&value) || (value == 0.0 && !zero)
+            {
                 return Err(DecodeError::Invalid {
                     field,
                     reason: "is out of range",
--- a/src/transport/mesh.rs
+++ b/src/transport/mesh.rs
@@ -2,14 +2,14 @@
 
 use std::{collections::HashMap, net::SocketAddrV4, time::Duration};
 
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tonic::{
     Request, Response, Status,
     transport::{Channel, Endpoint, Server},
 };
 
 use crate::{
-    coordination::{Command, JobProgress, Progress},
+    coordination::{Command, JobProgress, Progress, Renewal, Revocation},
     protocol::ids::JobId,
 };
 
@@ -18,7 +18,7 @@
 }
 
 use proto::{
-    Told,
+    Renewals, Told,
     mesh_client::MeshClient,
     mesh_server::{Mesh, MeshServer},
 };
@@ -47,8 +47,12 @@
     }
 }
 
+/// A leader's question on its way to the owner.
+pub type Questions = mpsc::UnboundedSender<(Revocation, oneshot::Sender<Vec<Renewal>>)>;
+
 struct Service {
     owner: mpsc::UnboundedSender<Command>,
+    questions: Questions,
 }
 
 #[tonic::async_trait]
@@ -59,15 +63,46 @@
             .send(Command::Progress(heard(request.into_inner())));
         Ok(Response::new(Told {}))
     }
+
+    async fn revoke(
+        &self,
+        request: Request<proto::Revocation>,
+    ) -> Result<Response<Renewals>, Status> {
+        let message = request.into_inner();
+        let revocation = Revocation {
+            term: message.term,
+            machines: message
+                .machines
+                .into_iter()
+                .map(|machine| (machine.name, machine.session))
+                .collect(),
+        };
+        let (send, receive) = oneshot::channel();
+        let gone = || Status::unavailable("the owner is gone");
+        self.questions
+            .send((revocation, send))
+            .map_err(|_| gone())?;
+        let renewals = receive.await.map_err(|_| gone())?;
+        Ok(Response::new(Renewals {
+            renewals: renewals
+                .into_iter()
+                .map(|renewal| proto::Renewal {
+                    machine: renewal.machine,
+                    age_ms: renewal.age_ms,
+                })
+                .collect(),
+        }))
+    }
 }
 
 /// Serves the mesh until the process ends.
 pub async fn serve(
     addr: SocketAddrV4,
     owner: mpsc::UnboundedSender<Command>,
+    questions: Questions,
 ) -> Result<(), tonic::transport::Error> {
     Server::builder()
-        .add_service(MeshServer::new(Service { owner }))
+        .add_service(MeshServer::new(Service { owner, questions }))
         .serve(addr.into())
         .await
 }
@@ -105,4 +140,23 @@
             }
         });
     }
+
+    /// Asks a member about silent machines. `None`: no answer.
+    pub async fn revoke(&self, addr: SocketAddrV4, revocation: Revocation) -> Option<Vec<Renewal>> {
+        let mut client = self.channels.get(&addr).cloned()?;
+        let message = proto::Revocation {
+            term: revocation.term,
+            machines: revocation
+                .machines
+                .into_iter()
+                .map(|(name, session)| proto::SilentMachine { name, session })
+                .collect(),
+        };
+        let reply = client.revoke(message).await.ok()?.into_inner();
+        let renewals = reply.renewals.into_iter().map(|renewal| Renewal {
+            machine: renewal.machine,
+            age_ms: renewal.age_ms,
+        });
+        Some(renewals.collect())
+    }
 }
