--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -41,6 +41,8 @@
 const TELL: Millis = 1000;
 const SWEEP: Millis = 1000;
 const PREEMPT: Millis = 10_000;
+/// Users wait for services; what gives way to them does so sooner.
+const PREEMPT_FOR_SERVICES: Millis = 200;
 const PAGE: u32 = 200;
 
 /// Trying to become the leader.
@@ -94,6 +96,7 @@
     swept_at: Millis,
     sweeping: HashSet<JobId>,
     preempted_at: Millis,
+    preempted_for_services_at: Millis,
     types_written: u64,
     pub renting: Renting,
     /// Deputies whose keys went since the takeover, and when that was seen.
@@ -340,6 +343,7 @@
             swept_at: 0,
             sweeping: HashSet::new(),
             preempted_at: self.now,
+            preempted_for_services_at: self.now,
             types_written: 0,
             renting: Renting::default(),
             gone: HashMap::new(),
@@ -527,9 +531,14 @@
                 tracing::debug!(placed, "round");
             }
         }
-        if leading.preempted_at + PREEMPT <= now {
-            leading.preempted_at = now;
-            for victim in scheduler::preempt(books, now, false) {
+        let all = leading.preempted_at + PREEMPT <= now;
+        let services = leading.preempted_for_services_at + PREEMPT_FOR_SERVICES <= now;
+        if all || services {
+            leading.preempted_for_services_at = now;
+            if all {
+                leading.preempted_at = now;
+            }
+            for victim in scheduler::preempt(books, now, !all) {
                 let attempt = &books.machines[victim.machine.at()].attempts[victim.at];
                 let job = books.job(attempt.job);
                 let grace = if job.checkpoint_s > 0.0 {
