--- a/src/bookkeeping/autoscaler.rs
+++ b/src/bookkeeping/autoscaler.rs
@@ -27,7 +27,7 @@
 /// A machine costs this long at least.
 const MIN_CHARGE: Millis = 60_000;
 /// An empty machine is kept this long: the next job may want it.
-const IDLE: Millis = 20_000;
+const IDLE: Millis = 12_000;
 /// An offer that had nothing is not asked again for this long.
 const NO_CAPACITY: Millis = 20_000;
 const MAX_RENT: u32 = 50;
