--- a/src/bookkeeping/scheduler.rs
+++ b/src/bookkeeping/scheduler.rs
@@ -113,14 +113,19 @@
         (room.cpus - job.need.cpus) / kind.cpus.max(1.0)
     };
     // Ordinary machines are kept for work that may run nowhere else.
-    let borrowed = if job.spot && !machine.spot { 1.0 } else { 0.0 };
+    let borrowed = if job.spot && !machine.spot { 3.0 } else { 0.0 };
     // Replicas of a service are spread further than they must be: a lost zone then takes fewer.
     let crowd = if job.kind == Kind::Service {
         0.3 * f64::from(job.by_zone[machine.zone.at()])
     } else {
         0.0
     };
-    fetch_s + 0.5 * left + borrowed + crowd
+    // Arrays can wait for an image; what they pay for is machines that never empty out.
+    let (fetching, packing) = match job.kind {
+        Kind::Array => (0.3, 3.0),
+        Kind::Service => (1.0, 1.0),
+    };
+    fetching * fetch_s + packing * left + borrowed + crowd
 }
 
 /// What each team deserves now: its guarantee and an equal split of the rest, capped by its demand
