Rent for arrays only what running tasks will not make room for in time

Cause: every burst rented ordinary machines for work that the next finishing tasks would have taken.

--- a/src/bookkeeping/autoscaler.rs
+++ b/src/bookkeeping/autoscaler.rs
@@ -4,7 +4,7 @@
 
 use super::{
     Millis,
-    books::{Amounts, Books, Job, MachineIx, MachineState, TypeIx, ZoneIx},
+    books::{Amounts, Books, Job, MachineIx, MachineState, Phase, TypeIx, ZoneIx},
     millis,
 };
 use crate::protocol::job::Kind;
@@ -30,6 +30,10 @@
 const IDLE: Millis = 12_000;
 /// An offer that had nothing is not asked again for this long.
 const NO_CAPACITY: Millis = 20_000;
+/// Estimates are often too low; so much of the time that a task can wait is counted on.
+const SAFETY: f64 = 0.7;
+/// How long an array without any aim waits for others to finish before more is rented for it.
+const NO_AIM_S: f64 = 60.0;
 const MAX_RENT: u32 = 50;
 
 #[derive(Default)]
@@ -87,6 +91,7 @@
         books: &Books,
         under_way: &[Rental],
         now: Millis,
+        wall_ms: u64,
     ) -> (Vec<Rental>, Vec<MachineIx>) {
         self.refused.retain(|_, until| *until > now);
         let mut bins: Vec<Bin> = Vec::new();
@@ -115,13 +120,19 @@
                 });
             }
         }
+        // Places that running tasks will leave in time, and how many waiting tasks count on them.
+        let mut spoken_for = 0;
         for team in &books.teams {
             let mut budget = team.booked;
             for &(_, _, job) in &team.queue {
                 let job = books.job(job);
                 let mut slots = job.waiting.len();
                 if job.kind == Kind::Array {
-                    slots = slots.min(self.slots_for(books, job));
+                    let window = self.can_wait_s(books, job, wall_ms) * SAFETY;
+                    let freed = turnover(books, job, window, now) as usize;
+                    let covered = slots.min(freed.saturating_sub(spoken_for));
+                    spoken_for += covered;
+                    slots -= covered;
                 }
                 let mut by_zone = job.by_zone.clone();
                 for _ in 0..slots {
@@ -189,17 +200,20 @@
         (rentals, returns)
     }
 
-    /// How many of an array's waiting tasks are worth a machine: those that the running ones will
-    /// not have made room for by the time it is up.
-    fn slots_for(&self, books: &Books, job: &Job) -> usize {
-        let boot_s = books
-            .types
-            .iter()
-            .map(|kind| kind.boot_s)
-            .fold(f64::INFINITY, f64::min)
-            .clamp(10.0, 600.0);
-        let waiting = job.waiting.len() as f64;
-        (waiting * (job.estimate_s / boot_s).min(1.0)).ceil() as usize
+    /// How long the job's tasks can wait for a place and still be on time: by its deadline, or by
+    /// what is aimed at for its class.
+    fn can_wait_s(&self, books: &Books, job: &Job, wall_ms: u64) -> f64 {
+        let waited = wall_ms.saturating_sub(job.submitted_ms) as f64 / 1000.0;
+        let run_s = job.estimate_s * 1.3;
+        let aims = &books.aims[job.class.at()];
+        let due = [
+            job.deadline_s.map(|due| due - run_s),
+            aims.start_s,
+            aims.finish_s.map(|within| within - run_s),
+        ];
+        let due = due.into_iter().flatten().fold(f64::INFINITY, f64::min);
+        let due = if due.is_finite() { due } else { NO_AIM_S };
+        (due - waited).max(0.0)
     }
 
     /// Puts a task into a bin, a new one if need be; the zone it went to.
@@ -379,3 +393,31 @@
         ram_gb: kind.ram_gb,
     }
 }
+
+/// How many tasks of this job could be started within `window_s` in places that running array tasks
+/// leave.
+fn turnover(books: &Books, job: &Job, window_s: f64, now: Millis) -> f64 {
+    let mut places = 0.0;
+    for machine in &books.machines {
+        if !machine.usable() || (machine.spot && !job.spot) || !job.allows_type(machine.type_ix) {
+            continue;
+        }
+        for attempt in &machine.attempts {
+            let other = books.job(attempt.job);
+            if attempt.phase == Phase::Ended
+                || other.kind != Kind::Array
+                || !job.need.fits_in(&other.need)
+            {
+                continue;
+            }
+            let ran = attempt
+                .running_since
+                .map_or(0.0, |since| now.saturating_sub(since) as f64 / 1000.0);
+            let left = (other.estimate_s - ran).max(other.estimate_s * 0.25);
+            if left < window_s {
+                places += 1.0 + (window_s - left) / job.estimate_s.max(1.0);
+            }
+        }
+    }
+    places
+}
--- a/src/bookkeeping/books.rs
+++ b/src/bookkeeping/books.rs
@@ -8,7 +8,7 @@
 
 use super::Millis;
 use crate::{
-    config::Settings,
+    config::{Objective, Settings},
     protocol::{
         cloud::MachineType,
         ids::{JobId, TaskId},
@@ -318,6 +318,13 @@
     }
 }
 
+/// What is aimed at for the jobs of a class, in seconds from their submission.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Aims {
+    pub start_s: Option<f64>,
+    pub finish_s: Option<f64>,
+}
+
 pub struct Books {
     pub teams: Vec<Team>,
     pub team_names: Names,
@@ -325,6 +332,8 @@
     pub zone_names: Vec<String>,
     pub images: Names,
     pub classes: Names,
+    /// By class.
+    pub aims: Vec<Aims>,
     pub types: Vec<MachineType>,
     pub type_names: Names,
     pub jobs: Vec<Job>,
@@ -373,6 +382,7 @@
             zone_names: Vec::new(),
             images: Names::default(),
             classes: Names::default(),
+            aims: Vec::new(),
             types: Vec::new(),
             type_names: Names::default(),
             jobs: Vec::new(),
@@ -388,10 +398,35 @@
         for zone in &settings.zones {
             books.zone(zone);
         }
+        for objective in &settings.objectives {
+            books.aim(objective);
+        }
         books.set_types(types);
         books
     }
 
+    fn class(&mut self, name: &str) -> ClassIx {
+        let index = self.classes.index(name);
+        if index as usize == self.aims.len() {
+            self.aims.push(Aims::default());
+        }
+        ClassIx(index)
+    }
+
+    fn aim(&mut self, objective: &Objective) {
+        let (Some(class), Some(within)) = (&objective.class, objective.within_s) else {
+            return;
+        };
+        let class = self.class(class);
+        let aims = &mut self.aims[class.at()];
+        let tightest = |known: Option<f64>| Some(known.map_or(within, |known| known.min(within)));
+        match objective.kind.as_str() {
+            "wait" => aims.start_s = tightest(aims.start_s),
+            "finished" => aims.finish_s = tightest(aims.finish_s),
+            _ => {}
+        }
+    }
+
     /// Whether GPUs are what teams share; CPUs are where there are none.
     pub fn by_gpus(&self) -> bool {
         self.types.iter().any(|each| each.gpus > 0.0)
@@ -457,7 +492,7 @@
         let job = Job {
             id: spec.id,
             team,
-            class: ClassIx(self.classes.index(&spec.class)),
+            class: self.class(&spec.class),
             kind: spec.kind,
             priority: spec.priority,
             submitted_ms,
--- a/src/coordination/renting.rs
+++ b/src/coordination/renting.rs
@@ -181,6 +181,7 @@
     /// Asks the cloud for what the books call for, and returns what they don't.
     pub(super) fn rent(&mut self) {
         let now = self.now;
+        let wall = self.wall;
         let may_act = self.may_start();
         self.store_types();
         let Some(leading) = &mut self.leading else {
@@ -198,7 +199,7 @@
                 renting.planned_at = now;
                 let under_way: Vec<Rental> =
                     renting.rentals.iter().map(|(_, r)| r.clone()).collect();
-                let (rentals, returns) = renting.autoscaler.plan(books, &under_way, now);
+                let (rentals, returns) = renting.autoscaler.plan(books, &under_way, now, wall);
                 for index in returns {
                     books.machines[index.at()].state = MachineState::Deleting;
                 }
