Replicas take the place of arrays on machines that have their image

A replica that would miss its class's aim swaps in where an array task has to give way, if a second less wait costs at most 6 s of work.

--- a/src/bookkeeping/scheduler.rs
+++ b/src/bookkeeping/scheduler.rs
@@ -11,10 +11,12 @@
 
 use super::{
     Millis,
-    books::{Amounts, Books, Job, JobIx, Machine, MachineIx, Phase, TeamIx},
+    books::{Amounts, Attempt, Books, Job, JobIx, Machine, MachineIx, Phase, TeamIx},
 };
 use crate::protocol::job::{Kind, Priority};
 
+/// Seconds of an array task's work that a second of a replica's wait is worth.
+const WORK_FOR_WAIT: f64 = 6.0;
 /// How many placements one round may make before others get their turn.
 const ROUND: usize = 200;
 
@@ -50,10 +52,21 @@
                 .allows(&entry.need)
                 .then(|| best_machine(books, job, task, now))
                 .flatten()
-                .map(|machine| (task, machine))
+                .filter(|machine| in_time(books, entry, *machine, now))
+                .map(|machine| (task, machine, Vec::new()))
+        });
+        let target = target.or_else(|| {
+            let task = task.filter(|_| entry.not_before <= now)?;
+            books.teams[team.at()].allows(&entry.need).then_some(())?;
+            swap(books, job, task, now)
         });
         match target {
-            Some((task, machine)) => {
+            Some((task, machine, victims)) => {
+                for at in victims {
+                    let attempt = &mut books.machines[machine.at()].attempts[at];
+                    attempt.stop = Some(0.0);
+                    attempt.stop_sent = false;
+                }
                 books.place(job, task, machine, now);
                 placed += 1;
             }
@@ -71,6 +84,94 @@
     placed
 }
 
+/// Whether a replica that is aimed to start soon would do so there, for all that its image takes.
+fn in_time(books: &Books, job: &Job, machine: MachineIx, now: Millis) -> bool {
+    let Some(within) = books.aims[job.class.at()].start_s else {
+        return true;
+    };
+    let waited = now.saturating_sub(job.seen_at) as f64 / 1000.0;
+    // A replica that was moved, or is late anyway, takes what there is.
+    job.kind != Kind::Service
+        || waited > within
+        || fetch_s(books, job, books.machine(machine)) <= within - waited
+}
+
+/// A place for a replica on a machine that has its image, where work of lower priority is stopped
+/// for it; failing that, the place that `in_time` turned down.
+fn swap(books: &Books, job: JobIx, task: u32, now: Millis) -> Option<(u32, MachineIx, Vec<usize>)> {
+    let entry = books.job(job);
+    if entry.kind != Kind::Service {
+        return None;
+    }
+    let mut best: Option<(f64, MachineIx, Vec<usize>)> = None;
+    for (index, machine) in books.machines.iter().enumerate() {
+        let index = MachineIx(index as u32);
+        if !machine.usable()
+            || machine.avoid_until > now
+            || (machine.spot && !entry.spot)
+            || !entry.allows_type(machine.type_ix)
+            || !entry.allows_zone(machine.zone)
+            || machine.holds(job, task)
+            || !machine.has_image(entry.image)
+        {
+            continue;
+        }
+        let mut losers: Vec<(Priority, f64, usize)> = machine
+            .attempts
+            .iter()
+            .enumerate()
+            .filter(|(_, attempt)| {
+                matches!(attempt.phase, Phase::Fetching | Phase::Running) && attempt.stop.is_none()
+            })
+            .filter_map(|(at, attempt)| {
+                let loser = books.job(attempt.job);
+                (loser.priority > entry.priority)
+                    .then(|| (loser.priority, cut_s(loser, attempt, now), at))
+            })
+            .collect();
+        losers.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.total_cmp(&b.1)));
+        let mut room = books.room(machine);
+        let mut cost = 0.0;
+        let mut chosen = Vec::new();
+        for (_, lost, at) in losers {
+            if entry.need.fits_in(&room) {
+                break;
+            }
+            room.add(&books.job(machine.attempts[at].job).need);
+            cost += lost;
+            chosen.push(at);
+        }
+        let better = best.as_ref().is_none_or(|(least, ..)| cost < *least);
+        if entry.need.fits_in(&room) && better {
+            best = Some((cost, index, chosen));
+        }
+    }
+    let plain = best_machine(books, job, task, now);
+    // Where it fits without harm but would fetch its image first, the wait must be worth the work.
+    let worth = plain.map_or(f64::INFINITY, |machine| {
+        fetch_s(books, entry, books.machine(machine)) * WORK_FOR_WAIT
+    });
+    match best {
+        Some((cost, machine, victims)) if cost <= worth => Some((task, machine, victims)),
+        _ => plain.map(|machine| (task, machine, Vec::new())),
+    }
+}
+
+/// What it costs to stop the attempt at once, in seconds of its work.
+fn cut_s(job: &Job, attempt: &Attempt, now: Millis) -> f64 {
+    // A start that is undone this soon was none for the user.
+    const FRESH_S: f64 = 30.0;
+    let ran = attempt
+        .running_since
+        .map_or(0.0, |since| now.saturating_sub(since) as f64 / 1000.0);
+    let lost = if job.checkpoint_s > 0.0 {
+        ran % job.checkpoint_s
+    } else {
+        ran
+    };
+    lost + if ran < FRESH_S { 10.0 } else { 0.0 }
+}
+
 /// The machine on which the task would start soonest, then the fullest one that has room.
 fn best_machine(books: &Books, job: JobIx, task: u32, now: Millis) -> Option<MachineIx> {
     let entry = books.job(job);
@@ -92,20 +193,25 @@
     best.map(|(_, index)| index)
 }
 
+/// How long the job's image takes to get there.
+fn fetch_s(books: &Books, job: &Job, machine: &Machine) -> f64 {
+    if machine.has_image(job.image) {
+        return 0.0;
+    }
+    let kind = &books.types[machine.type_ix.at()];
+    let shared = machine
+        .attempts
+        .iter()
+        .filter(|a| a.phase <= Phase::Fetching)
+        .any(|a| books.job(a.job).image == job.image);
+    let whole = job.image_gb / kind.fetch_gb_per_s.max(0.01);
+    if shared { whole * 0.5 } else { whole }
+}
+
 /// Lower is better; in seconds, or what is held to be worth as much.
 fn score(books: &Books, job: &Job, machine: &Machine) -> f64 {
     let kind = &books.types[machine.type_ix.at()];
-    let fetch_s = if machine.has_image(job.image) {
-        0.0
-    } else {
-        let shared = machine
-            .attempts
-            .iter()
-            .filter(|a| a.phase <= Phase::Fetching)
-            .any(|a| books.job(a.job).image == job.image);
-        let whole = job.image_gb / kind.fetch_gb_per_s.max(0.01);
-        if shared { whole * 0.5 } else { whole }
-    };
+    let fetch_s = fetch_s(books, job, machine);
     let room = books.room(machine);
     let left = if books.by_gpus() && kind.gpus > 0.0 {
         (room.gpus - job.need.gpus) / kind.gpus
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -491,7 +491,20 @@
         };
         books.machines[on.at()].attempts[at].cause = listed.cause;
         books.machines[on.at()].attempts[at].sent = true;
+        let before = books.machine(on).attempts[at].phase;
         books.advance(on, at, phase, now);
+        if phase == Phase::Running && before < Phase::Running {
+            let attempt = &books.machine(on).attempts[at];
+            let job = books.job(attempt.job);
+            tracing::debug!(
+                task = %listed.task,
+                attempt = listed.attempt,
+                machine = report.machine,
+                queued_ms = attempt.placed_at.saturating_sub(job.seen_at),
+                start_ms = now.saturating_sub(attempt.placed_at),
+                "runs"
+            );
+        }
     }
     for at in (0..shown.len()).rev() {
         let machine = books.machine(on);
