--- a/src/bookkeeping/autoscaler.rs
+++ b/src/bookkeeping/autoscaler.rs
@@ -31,7 +31,7 @@
 /// An offer that had nothing is not asked again for this long.
 const NO_CAPACITY: Millis = 20_000;
 /// Estimates are often too low; so much of the time that a task can wait is counted on.
-const SAFETY: f64 = 0.7;
+const SAFETY: f64 = 0.5;
 /// How long an array without any aim waits for others to finish before more is rented for it.
 const NO_AIM_S: f64 = 60.0;
 const MAX_RENT: u32 = 50;
