--- a/src/coordination/directory.rs
+++ b/src/coordination/directory.rs
@@ -332,6 +332,8 @@
             self.directory.revision = first;
             self.directory.loaded = true;
             self.loading = Loading::Done;
+            // Nothing may be answered or renewed before the first sync.
+            self.sync.wanted = true;
             tracing::info!(
                 jobs = self.directory.jobs.len(),
                 revision = first,
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -25,8 +25,8 @@
 };
 
 /// The life of the leader's lease: how long a dead leader is waited for.
-const LEASE: Millis = 5000;
-const TOUCH: Millis = 1000;
+const LEASE: Millis = 3500;
+const TOUCH: Millis = 700;
 const TOUCH_TIMEOUT: Millis = 1200;
 const TXN_TIMEOUT: Millis = 2000;
 /// What steady clocks may drift apart, doubled.
