A predecessor's placement is never started again, only found; histories test

Cause, found by the new test of whole deployments under generated histories: a leader that finds an attempt gone gives its place to others without a note. Its successor read the old note, started the attempt again and broke a team's limit. Inherited attempts are now only watched for, behind the fence, and placed anew when denied.

--- a/src/bookkeeping/books.rs
+++ b/src/bookkeeping/books.rs
@@ -225,6 +225,9 @@
     pub needs: u64,
     /// A start was sent, by this leader or perhaps by an earlier one.
     pub sent: bool,
+    /// Taken over from a predecessor's notes, and not seen yet. It is never started again: the
+    /// predecessor may have found it gone and given its place to others without a note.
+    pub inherited: bool,
     /// A direct start is on its way.
     pub outstanding: bool,
     /// The check-in whose answer carried a start.
@@ -638,6 +641,7 @@
                 running_since: None,
                 needs,
                 sent: false,
+                inherited: false,
                 outstanding: false,
                 answered_at: None,
                 fence: 0,
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -226,7 +226,14 @@
                     ));
                 }
             }
-            if orders.is_empty() && starts.is_empty() {
+            // Orders without any order make the worker see the term, and what an earlier one may
+            // have sent is settled at once.
+            let unsettled = machine.token < *term
+                && machine
+                    .attempts
+                    .iter()
+                    .any(|attempt| attempt.fence > machine.token);
+            if orders.is_empty() && starts.is_empty() && !unsettled {
                 continue;
             }
             let addr = addr.clone();
@@ -491,6 +498,7 @@
         };
         books.machines[on.at()].attempts[at].cause = listed.cause;
         books.machines[on.at()].attempts[at].sent = true;
+        books.machines[on.at()].attempts[at].inherited = false;
         let before = books.machine(on).attempts[at].phase;
         books.advance(on, at, phase, now);
         if phase == Phase::Running && before < Phase::Running {
@@ -514,7 +522,7 @@
         }
         match attempt.phase {
             // The start was lost; it is sent again unless the task is to stop.
-            Phase::Placed if attempt.stop.is_none() => {}
+            Phase::Placed if attempt.stop.is_none() && !attempt.inherited => {}
             _ => books.drop_attempt(on, at, now),
         }
     }
@@ -682,7 +690,7 @@
         let attempt = u64::from(entry.attempt);
         match (entry.phase, entry.stop) {
             (Phase::Placed, None) => {
-                if may_start && books.stored(entry) && !entry.outstanding {
+                if may_start && books.stored(entry) && !entry.outstanding && !entry.inherited {
                     orders.push(Order::Start { task, attempt });
                     let checkins = machine.checkins;
                     let entry = &mut books.machines[on.at()].attempts[at];
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -1147,6 +1147,7 @@
                         running_since: None,
                         needs: 0,
                         sent: true,
+                        inherited: true,
                         outstanding: false,
                         answered_at: None,
                         fence: leading.first_term,
--- /dev/null
+++ b/tests/histories.rs
@@ -0,0 +1,1294 @@
+//! Whole deployments under generated histories: three nodes, a model of the state service, of the
+//! cloud and of the workers, and a network that delays, loses, holds back and reorders. The rules of
+//! the protocol are checked at every start and after every answer.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap, HashMap, HashSet},
+};
+
+use dalelb::{
+    config::Config,
+    coordination::{Answer, Ask, AskId, Command, Effect, Node, Now},
+    protocol::{
+        self,
+        cloud::*,
+        ids::{JobId, TaskId},
+        job::*,
+        state::*,
+        worker::*,
+    },
+};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use serde_json::{Value, json};
+
+const NODES: usize = 3;
+const LEASE_MS: u64 = 14_000;
+const CANCEL_MS: u64 = 34_000;
+const LIMIT: f64 = 24.0;
+
+fn config(index: usize) -> Config {
+    let members: Vec<Value> = (0..NODES)
+        .filter(|other| *other != index)
+        .map(|other| {
+            json!({"label": format!("n{other}"), "domain": "a",
+                   "address": format!("127.0.0.1:{}", 9100 + other)})
+        })
+        .collect();
+    serde_json::from_value(json!({
+        "label": format!("n{index}"), "domain": "a", "listen": "127.0.0.1:9000",
+        "mesh_addr": format!("127.0.0.1:{}", 9100 + index), "members": members,
+        "services": {"cloud": "127.0.0.1:1", "state": "127.0.0.1:2"},
+        "settings": {
+            "zones": ["a", "b"],
+            "teams": [{"name": "red", "cpus": 8.0, "cpus_max": LIMIT}, {"name": "blue"}],
+            "workers": {"report_s": 2.5, "lease_s": LEASE_MS as f64 / 1000.0,
+                        "cancel_s": CANCEL_MS as f64 / 1000.0},
+            "state": {"rps": 100.0, "write_rps": 50.0, "value_kb": 16.0, "txn_ops": 24},
+            "cloud": {"rps": 3.0, "list_lag_s": 6.0}
+        }
+    }))
+    .expect("a valid configuration")
+}
+
+#[derive(Default)]
+struct Store {
+    keys: BTreeMap<String, (Value, u64, Option<u64>)>,
+    revision: u64,
+    leases: HashMap<u64, (u64, u64)>,
+    log: Vec<(u64, Event)>,
+    next_lease: u64,
+    down_until: u64,
+}
+
+impl Store {
+    fn expire(&mut self, now: u64) {
+        if self.down_until > now {
+            return;
+        }
+        let over: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|(_, (until, _))| *until < now)
+            .map(|(id, _)| *id)
+            .collect();
+        for lease in over {
+            self.end(lease);
+        }
+    }
+
+    fn end(&mut self, lease: u64) {
+        self.leases.remove(&lease);
+        let gone: Vec<String> = self
+            .keys
+            .iter()
+            .filter(|(_, (_, _, on))| *on == Some(lease))
+            .map(|(key, _)| key.clone())
+            .collect();
+        if !gone.is_empty() {
+            self.revision += 1;
+        }
+        for key in gone {
+            self.keys.remove(&key);
+            self.log.push((
+                self.revision,
+                Event::Delete {
+                    key,
+                    version: self.revision,
+                },
+            ));
+        }
+    }
+
+    fn fail(&mut self, now: u64, until: u64) {
+        self.down_until = until;
+        for (end, life) in self.leases.values_mut() {
+            *end = until + *life;
+        }
+        let _ = now;
+    }
+
+    fn row(&self, key: &str) -> Option<Row> {
+        let (value, version, _) = self.keys.get(key)?;
+        Some(Row {
+            key: key.to_owned(),
+            value: value.clone(),
+            version: *version,
+        })
+    }
+
+    /// `None`: a watch that has to wait.
+    fn serve(&mut self, request: &StateRequest, now: u64) -> Option<StateReply> {
+        Some(match request {
+            StateRequest::Get { key } => self.row(key).map_or(StateReply::Missing, StateReply::Row),
+            StateRequest::List {
+                prefix,
+                after,
+                limit,
+            } => {
+                let mut rows: Vec<Row> = self
+                    .keys
+                    .keys()
+                    .filter(|key| key.starts_with(prefix))
+                    .filter(|key| after.as_ref().is_none_or(|after| *key > after))
+                    .filter_map(|key| self.row(key))
+                    .take(*limit as usize + 1)
+                    .collect();
+                let more = rows.len() > *limit as usize;
+                rows.truncate(*limit as usize);
+                StateReply::Page(Page {
+                    rows,
+                    more,
+                    revision: self.revision,
+                })
+            }
+            StateRequest::Txn(txn) => {
+                for write in &txn.writes {
+                    if let Write::Put {
+                        lease: Some(lease), ..
+                    } = write
+                        && !self.leases.contains_key(lease)
+                    {
+                        return Some(StateReply::NoLease);
+                    }
+                }
+                let failed: Vec<String> = txn
+                    .conditions
+                    .iter()
+                    .filter(|c| self.keys.get(&c.key).map_or(0, |(_, v, _)| *v) != c.version)
+                    .map(|c| c.key.clone())
+                    .collect();
+                if !failed.is_empty() {
+                    return Some(StateReply::Conflict(failed));
+                }
+                self.revision += 1;
+                for write in &txn.writes {
+                    let event = match write.clone() {
+                        Write::Put { key, value, lease } => {
+                            let entry = (value.clone(), self.revision, lease);
+                            self.keys.insert(key.clone(), entry);
+                            Event::Put {
+                                key,
+                                value,
+                                version: self.revision,
+                            }
+                        }
+                        Write::Delete { key } => {
+                            self.keys.remove(&key);
+                            Event::Delete {
+                                key,
+                                version: self.revision,
+                            }
+                        }
+                    };
+                    self.log.push((self.revision, event));
+                }
+                StateReply::Committed(self.revision)
+            }
+            StateRequest::Grant { life_ms } => {
+                self.next_lease += 1;
+                self.leases
+                    .insert(self.next_lease, (now + life_ms, *life_ms));
+                StateReply::Granted(self.next_lease)
+            }
+            StateRequest::Touch { lease } => match self.leases.get_mut(lease) {
+                Some((until, life)) => {
+                    *until = now + *life;
+                    StateReply::Touched
+                }
+                None => StateReply::NoLease,
+            },
+            StateRequest::Release { lease } => {
+                self.end(*lease);
+                StateReply::Touched
+            }
+            StateRequest::Changes {
+                prefix,
+                after,
+                hold_ms,
+            } => {
+                let events: Vec<Event> = self
+                    .log
+                    .iter()
+                    .filter(|(revision, _)| revision > after)
+                    .map(|(_, event)| event.clone())
+                    .filter(|event| match event {
+                        Event::Put { key, .. } | Event::Delete { key, .. } => {
+                            key.starts_with(prefix)
+                        }
+                    })
+                    .collect();
+                if events.is_empty() && *hold_ms > 0 {
+                    return None;
+                }
+                StateReply::Changes(Changes {
+                    revision: self.revision,
+                    events,
+                })
+            }
+        })
+    }
+}
+
+#[derive(Clone)]
+struct OnWorker {
+    attempt: u64,
+    state: TaskState,
+    cause: Option<Cause>,
+    until: u64,
+}
+
+struct Worker {
+    name: String,
+    zone: String,
+    spot: bool,
+    session: u64,
+    seq: u64,
+    token: u64,
+    lease_from: u64,
+    tasks: BTreeMap<TaskId, OnWorker>,
+    node: usize,
+    report_at: u64,
+    /// The report in flight: its number and when it is given up.
+    flying: Option<(u64, u64)>,
+    cut_until: u64,
+    gone: bool,
+    /// Reports late by this much drift.
+    drift: f64,
+}
+
+enum What {
+    Tick(usize),
+    ToNode(usize, u64, Box<Command>),
+    AtStore(usize, u64, u64, Box<(coordination::Tag, StateRequest)>),
+    ToWorker(
+        usize,
+        u64,
+        Box<(coordination::Worker, Option<DirectOrders>)>,
+    ),
+    ReportAt(usize, usize, Box<Report>, u64),
+    AnswerTo(usize, u64, u64, Box<Answer>),
+    Revoke(usize, usize, u64, Box<Effect>),
+}
+
+mod coordination {
+    pub use dalelb::coordination::{StateTag as Tag, WorkerTag as Worker};
+}
+
+struct Told {
+    accepted: bool,
+    cancelled_at: Option<u64>,
+    asked_to_cancel: bool,
+    last: Option<JobStatus>,
+}
+
+enum Asked {
+    /// The job, whether it is to be cancelled, and what its user had been told when asking.
+    User(JobId, bool, bool, Option<JobStatus>),
+    Report(usize, u64, u64),
+}
+
+struct World {
+    now: u64,
+    rng: StdRng,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    events: HashMap<u64, What>,
+    next: u64,
+    nodes: Vec<Option<Node>>,
+    lives: Vec<u64>,
+    born: Vec<u64>,
+    cut_store: Vec<u64>,
+    cut_workers: Vec<u64>,
+    cut_mesh: Vec<u64>,
+    store: Store,
+    watches: Vec<(usize, u64, coordination::Tag, StateRequest, u64, u64)>,
+    answered: HashSet<u64>,
+    workers: Vec<Worker>,
+    hires: HashMap<String, Vec<String>>,
+    jobs: BTreeMap<JobId, (Submission, Told)>,
+    completed: HashSet<TaskId>,
+    asks: HashMap<(usize, u64, AskId), Asked>,
+    revokes: HashMap<(usize, u64, AskId), (usize, u64, u64, u64, String)>,
+    next_ask: AskId,
+    starts: usize,
+    faults: bool,
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let mut world = World {
+            now: 0,
+            rng: StdRng::seed_from_u64(seed),
+            queue: BinaryHeap::new(),
+            events: HashMap::new(),
+            next: 0,
+            nodes: (0..NODES).map(|_| None).collect(),
+            lives: vec![0; NODES],
+            born: vec![0; NODES],
+            cut_store: vec![0; NODES],
+            cut_workers: vec![0; NODES],
+            cut_mesh: vec![0; NODES],
+            store: Store::default(),
+            watches: Vec::new(),
+            answered: HashSet::new(),
+            workers: Vec::new(),
+            hires: HashMap::new(),
+            jobs: BTreeMap::new(),
+            completed: HashSet::new(),
+            asks: HashMap::new(),
+            revokes: HashMap::new(),
+            next_ask: 0,
+            starts: 0,
+            faults: true,
+        };
+        for index in 0..4 {
+            world.machine(["a", "b"][index % 2], index == 3);
+        }
+        for index in 0..NODES {
+            world.boot(index);
+        }
+        world
+    }
+
+    fn machine(&mut self, zone: &str, spot: bool) -> String {
+        let name = format!("vm-{:06}", self.workers.len());
+        let drift = 1.0 + self.rng.random_range(-0.0005..0.0005);
+        self.workers.push(Worker {
+            name: name.clone(),
+            zone: zone.into(),
+            spot,
+            session: 1,
+            seq: 0,
+            token: 0,
+            lease_from: self.now,
+            tasks: BTreeMap::new(),
+            node: self.rng.random_range(0..NODES),
+            report_at: self.now + 500,
+            flying: None,
+            cut_until: 0,
+            gone: false,
+            drift,
+        });
+        name
+    }
+
+    fn at(&mut self, time: u64, what: What) {
+        self.next += 1;
+        self.queue.push(Reverse((time, self.next)));
+        self.events.insert(self.next, what);
+    }
+
+    /// When a message sent now arrives. A cut loses it or holds it back; now and then one is late.
+    fn arrival(&mut self, cut_until: u64) -> Option<u64> {
+        let usual = self.now + self.rng.random_range(1..8);
+        if cut_until > self.now {
+            return self.rng.random_bool(0.5).then_some(cut_until + 20);
+        }
+        if self.faults && self.rng.random_bool(0.004) {
+            return self
+                .rng
+                .random_bool(0.7)
+                .then(|| self.now + self.rng.random_range(300..20_000));
+        }
+        Some(usual)
+    }
+
+    fn boot(&mut self, index: usize) {
+        self.lives[index] += 1;
+        self.born[index] = self.now;
+        self.nodes[index] = Some(Node::new(config(index)));
+        self.at(self.now, What::Tick(index));
+    }
+
+    fn crash(&mut self, index: usize) {
+        self.nodes[index] = None;
+        self.lives[index] += 1;
+    }
+
+    fn step(&mut self, index: usize, life: u64, command: Command) {
+        if self.lives[index] != life {
+            return;
+        }
+        let now = Now {
+            steady: self.now - self.born[index],
+            wall: 1_700_000_000_000 + self.now,
+        };
+        let Some(node) = &mut self.nodes[index] else {
+            return;
+        };
+        for effect in node.step([command], now) {
+            self.perform(index, life, effect);
+        }
+    }
+
+    fn later(&mut self, index: usize, life: u64, time: u64, command: Command) {
+        self.at(time, What::ToNode(index, life, Box::new(command)));
+    }
+
+    fn perform(&mut self, index: usize, life: u64, effect: Effect) {
+        let sent = self.now - self.born[index];
+        match effect {
+            Effect::State {
+                tag,
+                request,
+                timeout_ms,
+                ..
+            } => {
+                self.next += 1;
+                let ticket = self.next;
+                let give_up = Command::State {
+                    tag: tag.clone(),
+                    sent_at: sent,
+                    result: Err(StateError::NoAnswer),
+                };
+                self.at(
+                    self.now + timeout_ms,
+                    What::ToNode(index, life | ticket << 20, Box::new(give_up)),
+                );
+                if let Some(time) = self.arrival(self.cut_store[index]) {
+                    let sent_and_ticket = sent << 32 | ticket;
+                    let packet = Box::new((tag, request));
+                    self.at(time, What::AtStore(index, life, sent_and_ticket, packet));
+                }
+            }
+            Effect::Cloud { tag, request, .. } => {
+                let result = Ok(self.cloud(&request));
+                let delay = self.rng.random_range(20..200);
+                self.later(
+                    index,
+                    life,
+                    self.now + delay,
+                    Command::Cloud { tag, result },
+                );
+            }
+            Effect::Worker {
+                tag,
+                orders,
+                timeout_ms,
+                ..
+            } => {
+                let Some(at) = self.workers.iter().position(|w| w.name == tag.machine) else {
+                    return self.later(
+                        index,
+                        life,
+                        self.now + timeout_ms,
+                        Command::Worker { tag, result: None },
+                    );
+                };
+                self.next += 1;
+                let ticket = self.next;
+                let give_up = Command::Worker {
+                    tag: tag.clone(),
+                    result: None,
+                };
+                self.at(
+                    self.now + timeout_ms,
+                    What::ToNode(index, life | ticket << 20, Box::new(give_up)),
+                );
+                let cut = self.cut_workers[index].max(self.workers[at].cut_until);
+                if let Some(time) = self.arrival(cut) {
+                    let whom = (at as u64) << 40 | ticket;
+                    self.at(
+                        time,
+                        What::ToWorker(index, life << 48 | whom, Box::new((tag, orders))),
+                    );
+                }
+            }
+            Effect::Answer(id, answer) => self.answer(index, life, id, answer),
+            Effect::Tell(progress) => {
+                for other in (0..NODES).filter(|other| *other != index) {
+                    let cut = self.cut_mesh[index].max(self.cut_mesh[other]);
+                    if let Some(time) = self.arrival(cut) {
+                        let life = self.lives[other];
+                        self.later(other, life, time, Command::Progress(progress.clone()));
+                    }
+                }
+            }
+            Effect::Revoke { ref label, .. } => {
+                let other: usize = label[1..].parse().expect("a node's number");
+                let cut = self.cut_mesh[index].max(self.cut_mesh[other]);
+                if let Some(time) = self.arrival(cut) {
+                    self.at(
+                        time,
+                        What::Revoke(index, other, life << 32 | sent, Box::new(effect)),
+                    );
+                }
+            }
+            Effect::Revoked(id, renewals) => {
+                if let Some((asker, asker_life, sent_at, lease, label)) =
+                    self.revokes.remove(&(index, life, id))
+                {
+                    let cut = self.cut_mesh[index].max(self.cut_mesh[asker]);
+                    if let Some(time) = self.arrival(cut) {
+                        let command = Command::Revoked {
+                            lease,
+                            label,
+                            sent_at,
+                            renewals: Some(renewals),
+                        };
+                        self.later(asker, asker_life, time, command);
+                    }
+                }
+            }
+            Effect::Leading(_) => {}
+        }
+    }
+
+    fn cloud(&mut self, request: &CloudRequest) -> CloudReply {
+        let kind = MachineType {
+            name: "c16".into(),
+            cpus: 16.0,
+            gpus: 0.0,
+            ram_gb: 64.0,
+            cache_gb: 50.0,
+            fetch_gb_per_s: 1.0,
+            price: 1.0,
+            spot_price: Some(0.3),
+            boot_s: 10.0,
+            zones: vec!["a".into(), "b".into()],
+        };
+        match request {
+            CloudRequest::Types => CloudReply::Types(MachineTypes { types: vec![kind] }),
+            CloudRequest::Rent(rent) => {
+                if let Some(names) = self.hires.get(&rent.name) {
+                    return CloudReply::Rented(names.clone());
+                }
+                let up = self.workers.iter().filter(|w| !w.gone).count();
+                let count = (10usize.saturating_sub(up)).min(rent.count as usize);
+                if count == 0 {
+                    return CloudReply::NoCapacity;
+                }
+                let names: Vec<String> = (0..count)
+                    .map(|_| self.machine(&rent.zone, rent.spot))
+                    .collect();
+                self.hires.insert(rent.name.clone(), names.clone());
+                CloudReply::Rented(names)
+            }
+            CloudRequest::Delete(names) => {
+                for worker in &mut self.workers {
+                    if names.contains(&worker.name) {
+                        worker.gone = true;
+                        worker.tasks.clear();
+                    }
+                }
+                CloudReply::Deleted
+            }
+            CloudRequest::List { .. } => CloudReply::List(MachineList {
+                machines: self
+                    .workers
+                    .iter()
+                    .filter(|w| !w.gone)
+                    .map(|w| ListedMachine {
+                        id: w.name.clone(),
+                        addr: Some("10.0.0.1:1".into()),
+                        type_name: "c16".into(),
+                        zone: w.zone.clone(),
+                        spot: w.spot,
+                        status: MachineStatus::Running,
+                        age_s: 100.0,
+                    })
+                    .collect(),
+                more: false,
+            }),
+        }
+    }
+
+    fn report(&mut self, at: usize) -> Report {
+        let worker = &mut self.workers[at];
+        worker.seq += 1;
+        Report {
+            machine: worker.name.clone(),
+            addr: "10.0.0.1:1".into(),
+            type_name: "c16".into(),
+            zone: worker.zone.clone(),
+            spot: worker.spot,
+            session: worker.session,
+            seq: worker.seq,
+            token: worker.token,
+            notice_s: None,
+            tasks: worker
+                .tasks
+                .iter()
+                .map(|(task, on)| TaskReport {
+                    task: *task,
+                    attempt: on.attempt,
+                    state: on.state,
+                    cause: on.cause,
+                    saved: None,
+                })
+                .collect(),
+        }
+    }
+
+    /// Lets a worker's own time pass: its lease, its images, its tasks.
+    fn live(&mut self, at: usize) {
+        let now = self.now;
+        let worker = &mut self.workers[at];
+        if worker.gone {
+            return;
+        }
+        if now > worker.lease_from + (LEASE_MS as f64 * worker.drift) as u64 {
+            worker.tasks.clear();
+            worker.session += 1;
+            worker.lease_from = now;
+            worker.flying = None;
+            worker.report_at = now;
+        }
+        let due: Vec<TaskId> = worker
+            .tasks
+            .iter()
+            .filter(|(_, on)| on.until <= now && on.state != TaskState::Ended)
+            .map(|(task, _)| *task)
+            .collect();
+        for task in due {
+            let spec = self.jobs[&task.job].0.clone();
+            let state = self.workers[at].tasks[&task].state;
+            if state == TaskState::Fetching {
+                self.started(at, task, &spec);
+                let done = self.completed.contains(&task);
+                let on = self.workers[at].tasks.get_mut(&task).expect("it is there");
+                on.state = TaskState::Running;
+                on.until = if done {
+                    now
+                } else if spec.kind == Kind::Service {
+                    u64::MAX
+                } else {
+                    now + (spec.estimate_s * 1000.0) as u64
+                };
+            } else {
+                self.completed.insert(task);
+                let on = self.workers[at].tasks.get_mut(&task).expect("it is there");
+                on.state = TaskState::Ended;
+                on.cause = Some(Cause::Done);
+            }
+            let worker = &mut self.workers[at];
+            worker.report_at = worker.report_at.min(now + 500);
+        }
+    }
+
+    /// A task has its image: the rules about starting.
+    fn started(&mut self, at: usize, task: TaskId, spec: &Submission) {
+        self.starts += 1;
+        let on = |state| matches!(state, TaskState::Running | TaskState::Saving);
+        for (other, worker) in self.workers.iter().enumerate() {
+            let there = worker.tasks.get(&task).is_some_and(|t| on(t.state));
+            assert!(other == at || !there, "ran_twice: {task} at {}", self.now);
+        }
+        let (worker, told) = (&self.workers[at], &self.jobs[&task.job].1);
+        assert!(!worker.spot || spec.spot, "wrong_place: {task}");
+        if let Some(told_at) = told.cancelled_at {
+            assert!(
+                self.now <= told_at + CANCEL_MS,
+                "ran_cancelled: {task} starts"
+            );
+        }
+        let running = |team: &str| -> f64 {
+            let tasks = self.workers.iter().flat_map(|worker| &worker.tasks);
+            tasks
+                .filter(|(_, t)| on(t.state))
+                .map(|(id, _)| &self.jobs[&id.job].0)
+                .filter(|job| job.team == team)
+                .map(|job| job.cpus)
+                .sum()
+        };
+        if spec.team == "red" {
+            let used = running("red") + spec.cpus;
+            assert!(
+                used <= LIMIT + 1e-6,
+                "quota: red uses {used} with {task} on {}: {:?}",
+                self.workers[at].name,
+                self.where_is("red")
+            );
+        }
+        if spec.spread {
+            let same = self
+                .workers
+                .iter()
+                .filter(|other| other.zone == worker.zone)
+                .flat_map(|other| &other.tasks)
+                .filter(|(id, t)| id.job == task.job && on(t.state))
+                .count();
+            assert!(
+                same < spec.tasks.div_ceil(2) as usize,
+                "wrong_place: {task} crowds a zone"
+            );
+        }
+    }
+
+    /// Where a team's tasks are: what a broken rule is explained with.
+    fn where_is(&self, team: &str) -> Vec<String> {
+        let mut found = Vec::new();
+        for worker in &self.workers {
+            for (task, on) in &worker.tasks {
+                if self.jobs[&task.job].0.team == team {
+                    found.push(format!(
+                        "{task}#{} {:?} on {} (session {}, token {}, cut until {})",
+                        on.attempt,
+                        on.state,
+                        worker.name,
+                        worker.session,
+                        worker.token,
+                        worker.cut_until
+                    ));
+                }
+            }
+        }
+        found
+    }
+
+    fn obey(&mut self, at: usize, orders: &[Order]) {
+        for order in orders {
+            match *order {
+                Order::Start { task, attempt } => {
+                    let spec = self.jobs[&task.job].0.clone();
+                    let mut used = 0.0;
+                    for (id, on) in &self.workers[at].tasks {
+                        if on.state != TaskState::Ended {
+                            used += self.jobs[&id.job].0.cpus;
+                        }
+                    }
+                    let fetch = self.rng.random_range(50..3000);
+                    let worker = &mut self.workers[at];
+                    if worker
+                        .tasks
+                        .get(&task)
+                        .is_some_and(|on| on.attempt == attempt)
+                    {
+                        continue;
+                    }
+                    let refused = if worker.tasks.contains_key(&task) {
+                        // The attempt that is here stays; the refusal is not kept in this model.
+                        continue;
+                    } else {
+                        (used + spec.cpus > 16.0 + 1e-6).then_some(Cause::NoRoom)
+                    };
+                    let entry = OnWorker {
+                        attempt,
+                        state: if refused.is_some() {
+                            TaskState::Ended
+                        } else {
+                            TaskState::Fetching
+                        },
+                        cause: refused,
+                        until: self.now + fetch,
+                    };
+                    worker.tasks.insert(task, entry);
+                }
+                Order::Stop { task, attempt, .. } => {
+                    if let Some(on) = self.workers[at].tasks.get_mut(&task)
+                        && on.attempt == attempt
+                        && on.state != TaskState::Ended
+                    {
+                        on.state = TaskState::Ended;
+                        on.cause = Some(Cause::Stopped);
+                    }
+                }
+                Order::Forget { task, attempt } => {
+                    let worker = &mut self.workers[at];
+                    if worker
+                        .tasks
+                        .get(&task)
+                        .is_some_and(|on| on.attempt == attempt && on.state == TaskState::Ended)
+                    {
+                        worker.tasks.remove(&task);
+                    }
+                }
+            }
+        }
+        if !orders.is_empty() {
+            let worker = &mut self.workers[at];
+            worker.report_at = worker.report_at.min(self.now + 500);
+        }
+    }
+
+    fn answer(&mut self, index: usize, life: u64, id: AskId, answer: Answer) {
+        match self.asks.remove(&(index, life, id)) {
+            Some(Asked::Report(at, session, number)) => {
+                let cut = self.cut_workers[index].max(self.workers[at].cut_until);
+                if let Some(time) = self.arrival(cut) {
+                    let tag = session << 40 | number;
+                    self.at(
+                        time,
+                        What::AnswerTo(at, tag, index as u64, Box::new(answer)),
+                    );
+                }
+            }
+            Some(Asked::User(job, cancel, accepted, last)) => {
+                self.told(job, cancel, accepted, last, &answer)
+            }
+            None => {}
+        }
+    }
+
+    /// What users are told: the rules about answers.
+    fn told(
+        &mut self,
+        id: JobId,
+        cancel: bool,
+        accepted: bool,
+        last: Option<JobStatus>,
+        answer: &Answer,
+    ) {
+        let now = self.now;
+        let (spec, told) = self
+            .jobs
+            .get_mut(&id)
+            .expect("only known jobs are asked for");
+        if answer.status == 404 {
+            assert!(!accepted, "forgotten: {id}");
+            return;
+        }
+        if answer.status >= 300 {
+            assert!(
+                !accepted || (answer.status != 400 && answer.status != 422),
+                "forgotten: {id}"
+            );
+            return;
+        }
+        told.accepted = true;
+        let view: JobView = protocol::decode(&answer.body).expect("a job's state");
+        let ended = |status| matches!(status, Some(JobStatus::Done | JobStatus::Cancelled));
+        if ended(last) {
+            assert_eq!(Some(view.status), last, "went_back: {id}");
+        }
+        if ended(told.last) && ended(Some(view.status)) {
+            assert_eq!(Some(view.status), told.last, "went_back: {id}");
+        }
+        if !ended(told.last) {
+            told.last = Some(view.status);
+        }
+        match view.status {
+            JobStatus::Done => {
+                for index in 0..spec.tasks {
+                    let task = TaskId { job: id, index };
+                    assert!(self.completed.contains(&task), "not_done: {task}");
+                }
+            }
+            JobStatus::Cancelled => {
+                assert!(told.asked_to_cancel, "went_back: {id} was not cancelled");
+                told.cancelled_at.get_or_insert(now);
+            }
+            _ => assert!(!cancel, "a cancellation was answered with {view:?}"),
+        }
+    }
+
+    fn ask(&mut self, id: JobId, ask: Ask) {
+        let index = self.rng.random_range(0..NODES);
+        let cancel = matches!(ask, Ask::Cancel(_));
+        if cancel {
+            self.jobs.get_mut(&id).expect("known").1.asked_to_cancel = true;
+        }
+        self.next_ask += 1;
+        let life = self.lives[index];
+        let told = &self.jobs[&id].1;
+        let asked = Asked::User(id, cancel, told.accepted, told.last);
+        self.asks.insert((index, life, self.next_ask), asked);
+        self.step(index, life, Command::Ask(self.next_ask, ask));
+    }
+
+    fn submit(&mut self, number: u64) {
+        let id = JobId(number);
+        let service = self.rng.random_bool(0.3);
+        let spec = Submission {
+            id,
+            class: "any".into(),
+            team: if self.rng.random_bool(0.5) {
+                "red"
+            } else {
+                "blue"
+            }
+            .into(),
+            kind: if service { Kind::Service } else { Kind::Array },
+            priority: if service {
+                Priority::Production
+            } else {
+                Priority::Normal
+            },
+            tasks: self.rng.random_range(1..if service { 4 } else { 9 }),
+            cpus: 4.0,
+            gpus: 0.0,
+            ram_gb: 8.0,
+            image: format!("img-{}", self.rng.random_range(0..3)),
+            image_gb: 1.0,
+            types: None,
+            zone: None,
+            one_zone: false,
+            spread: service,
+            spot: !service,
+            estimate_s: if service { 0.0 } else { 8.0 },
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            deadline_s: None,
+        };
+        let told = Told {
+            accepted: false,
+            cancelled_at: None,
+            asked_to_cancel: false,
+            last: None,
+        };
+        self.jobs.insert(id, (spec.clone(), told));
+        self.ask(id, Ask::Submit(Box::new(spec)));
+    }
+
+    fn fault(&mut self) {
+        let index = self.rng.random_range(0..NODES);
+        let until = self.now + self.rng.random_range(2000..30_000);
+        match self.rng.random_range(0..8) {
+            0 => self.crash(index),
+            1 => (0..NODES).for_each(|each| self.crash(each)),
+            2 => self.store.fail(self.now, until),
+            3 => self.cut_store[index] = until,
+            4 => self.cut_workers[index] = until,
+            5 => {
+                self.cut_store[index] = until;
+                self.cut_workers[index] = until;
+                self.cut_mesh[index] = until;
+            }
+            6 => self.cut_mesh[index] = until,
+            _ => {
+                let at = self.rng.random_range(0..self.workers.len());
+                self.workers[at].cut_until = until;
+            }
+        }
+        for each in 0..NODES {
+            if self.nodes[each].is_none() && self.rng.random_bool(0.8) {
+                self.boot(each);
+            }
+        }
+    }
+
+    fn handle(&mut self, what: What) {
+        match what {
+            What::Tick(index) => {
+                if self.nodes[index].is_some() {
+                    let life = self.lives[index];
+                    self.step(index, life, Command::Tick);
+                    self.at(self.now + 50, What::Tick(index));
+                }
+            }
+            What::ToNode(index, tag, command) => {
+                let (life, ticket) = (tag & 0xfffff, tag >> 20);
+                if ticket == 0 || self.answered.insert(ticket) {
+                    self.step(index, life, *command);
+                }
+            }
+            What::AtStore(index, life, sent_and_ticket, packet) => {
+                let (sent_at, ticket) = (sent_and_ticket >> 32, sent_and_ticket & 0xffff_ffff);
+                let (tag, request) = *packet;
+                if self.store.down_until > self.now {
+                    if matches!(request, StateRequest::Changes { hold_ms, .. } if hold_ms > 0) {
+                        let until = self.store.down_until;
+                        self.watches
+                            .push((index, life, tag, request, sent_and_ticket, until));
+                        return;
+                    }
+                    let result = Err(StateError::Refused(503));
+                    return self.reply(
+                        index,
+                        life,
+                        ticket,
+                        Command::State {
+                            tag,
+                            sent_at,
+                            result,
+                        },
+                    );
+                }
+                self.store.expire(self.now);
+                match self.store.serve(&request, self.now) {
+                    Some(reply) => {
+                        let result = Ok(reply);
+                        self.reply(
+                            index,
+                            life,
+                            ticket,
+                            Command::State {
+                                tag,
+                                sent_at,
+                                result,
+                            },
+                        );
+                    }
+                    None => {
+                        let until = self.now + 10_000;
+                        self.watches
+                            .push((index, life, tag, request, sent_and_ticket, until));
+                    }
+                }
+            }
+            What::ToWorker(index, tag, packet) => {
+                let (life, at) = (tag >> 48, (tag >> 40 & 0xff) as usize);
+                let ticket = tag & 0xff_ffff_ffff;
+                let (tag, orders) = *packet;
+                self.live(at);
+                if self.workers[at].gone {
+                    return;
+                }
+                let mut executed = true;
+                if let Some(orders) = orders {
+                    let worker = &mut self.workers[at];
+                    executed = orders.token >= worker.token && orders.session == worker.session;
+                    if executed {
+                        worker.token = orders.token;
+                        self.obey(at, &orders.orders);
+                    }
+                }
+                let report = self.report(at);
+                let result = Some(if executed {
+                    WorkerReply::Executed(report)
+                } else {
+                    WorkerReply::Rejected(report)
+                });
+                let cut = self.cut_workers[index].max(self.workers[at].cut_until);
+                if let Some(time) = self.arrival(cut) {
+                    let command = Box::new(Command::Worker { tag, result });
+                    self.at(time, What::ToNode(index, life | ticket << 20, command));
+                }
+            }
+            What::ReportAt(at, index, report, number) => {
+                self.next_ask += 1;
+                let life = self.lives[index];
+                if self.nodes[index].is_none() {
+                    return;
+                }
+                let asked = Asked::Report(at, report.session, number);
+                self.asks.insert((index, life, self.next_ask), asked);
+                let command = Command::Ask(self.next_ask, Ask::CheckIn(report));
+                self.step(index, life, command);
+            }
+            What::AnswerTo(at, tag, index, answer) => {
+                let (session, number) = (tag >> 40, tag & 0xff_ffff_ffff);
+                let worker = &mut self.workers[at];
+                let Some((flying, _)) = worker.flying else {
+                    return;
+                };
+                if flying != number || worker.session != session || worker.gone {
+                    return;
+                }
+                worker.flying = None;
+                match answer.status {
+                    200 => {
+                        let orders: Orders = protocol::decode(&answer.body).expect("orders");
+                        let worker = &mut self.workers[at];
+                        if orders.token >= worker.token {
+                            worker.token = orders.token;
+                            // A report's number is the time at which it was sent.
+                            worker.lease_from = worker.lease_from.max(number);
+                            self.obey(at, &orders.orders);
+                        }
+                    }
+                    421 => {
+                        let redirect: Redirect = protocol::decode(&answer.body).expect("a leader");
+                        let to = redirect.leader.and_then(|label| label[1..].parse().ok());
+                        let worker = &mut self.workers[at];
+                        worker.node = to.unwrap_or((index as usize + 1) % NODES);
+                        worker.report_at = self.now + 100;
+                    }
+                    _ => {
+                        worker.node = (index as usize + 1) % NODES;
+                        worker.report_at = self.now + 1000;
+                    }
+                }
+            }
+            What::Revoke(asker, other, tag, effect) => {
+                let (life, sent_at) = (tag >> 32, tag & 0xffff_ffff);
+                let Effect::Revoke {
+                    lease,
+                    label,
+                    revocation,
+                } = *effect
+                else {
+                    return;
+                };
+                self.next_ask += 1;
+                let other_life = self.lives[other];
+                let whom = (asker, life, sent_at, lease, label);
+                self.revokes
+                    .insert((other, other_life, self.next_ask), whom);
+                let command = Command::Revoke(self.next_ask, revocation);
+                self.step(other, other_life, command);
+            }
+        }
+    }
+
+    fn reply(&mut self, index: usize, life: u64, ticket: u64, command: Command) {
+        if let Some(time) = self.arrival(self.cut_store[index]) {
+            let tag = life | ticket << 20;
+            self.at(time, What::ToNode(index, tag, Box::new(command)));
+        }
+    }
+
+    /// What happens by itself every 25 ms.
+    fn background(&mut self) {
+        for at in 0..self.workers.len() {
+            self.live(at);
+            let now = self.now;
+            let worker = &mut self.workers[at];
+            if worker.gone || now < 1000 {
+                continue;
+            }
+            if worker.flying.is_some_and(|(_, until)| until <= now) {
+                worker.flying = None;
+                worker.node = (worker.node + 1) % NODES;
+                worker.report_at = now + 1000;
+            }
+            if worker.flying.is_none() && worker.report_at <= now {
+                worker.flying = Some((now, now + 4000));
+                worker.report_at = now + 2500;
+                let (node, cut) = (worker.node, worker.cut_until);
+                let report = self.report(at);
+                let cut = cut.max(self.cut_workers[node]);
+                if let Some(time) = self.arrival(cut) {
+                    self.at(time, What::ReportAt(at, node, Box::new(report), now));
+                }
+            }
+        }
+        self.store.expire(self.now);
+        if self.store.down_until <= self.now {
+            for (index, life, tag, request, sent_and_ticket, until) in
+                std::mem::take(&mut self.watches)
+            {
+                let (sent_at, ticket) = (sent_and_ticket >> 32, sent_and_ticket & 0xffff_ffff);
+                let mut request = request;
+                if until <= self.now
+                    && let StateRequest::Changes { hold_ms, .. } = &mut request
+                {
+                    *hold_ms = 0;
+                }
+                match self.store.serve(&request, self.now) {
+                    Some(reply) => {
+                        let result = Ok(reply);
+                        self.reply(
+                            index,
+                            life,
+                            ticket,
+                            Command::State {
+                                tag,
+                                sent_at,
+                                result,
+                            },
+                        );
+                    }
+                    None => self
+                        .watches
+                        .push((index, life, tag, request, sent_and_ticket, until)),
+                }
+            }
+        }
+        // Cancelled tasks must be gone in time.
+        for worker in &self.workers {
+            for (task, on) in &worker.tasks {
+                let told = self.jobs[&task.job].1.cancelled_at;
+                if on.state == TaskState::Running
+                    && let Some(told_at) = told
+                {
+                    assert!(
+                        self.now <= told_at + CANCEL_MS,
+                        "ran_cancelled: {task} at {}",
+                        self.now
+                    );
+                }
+            }
+        }
+    }
+
+    fn run_until(&mut self, end: u64) {
+        while self.now < end {
+            let next = self.now + 25;
+            while let Some(Reverse((time, id))) = self.queue.peek().copied() {
+                if time > next {
+                    break;
+                }
+                self.queue.pop();
+                self.now = self.now.max(time);
+                if let Some(what) = self.events.remove(&id) {
+                    self.handle(what);
+                }
+            }
+            self.now = next;
+            self.background();
+        }
+    }
+}
+
+fn play(seed: u64) {
+    let mut world = World::new(seed);
+    let mut number = 0;
+    for second in 0..180 {
+        world.run_until((second + 1) * 1000);
+        if second % 4 == 0 {
+            number += 1;
+            world.submit(number);
+        }
+        let ids: Vec<JobId> = world.jobs.keys().copied().collect();
+        for id in ids {
+            if world.rng.random_bool(0.2) {
+                world.ask(id, Ask::Poll(id));
+            }
+            let (spec, told) = &world.jobs[&id];
+            let retry = (!told.accepted).then(|| Box::new(spec.clone()));
+            if let Some(spec) = retry {
+                world.ask(id, Ask::Submit(spec));
+            } else if world.rng.random_bool(0.008) {
+                world.ask(id, Ask::Cancel(id));
+            }
+        }
+        if second > 10 && world.rng.random_bool(0.12) {
+            world.fault();
+        }
+    }
+    // Once nothing fails any more, every array completes, given room.
+    world.faults = false;
+    for each in 0..NODES {
+        if world.nodes[each].is_none() {
+            world.boot(each);
+        }
+    }
+    for second in 180..330 {
+        world.run_until((second + 1) * 1000);
+        let ids: Vec<JobId> = world.jobs.keys().copied().collect();
+        for id in ids {
+            let (spec, told) = &world.jobs[&id];
+            if !told.accepted || second % 5 != 0 {
+                continue;
+            }
+            // Services would hold their team's limit for good.
+            let cancel = spec.kind == Kind::Service && told.cancelled_at.is_none();
+            world.ask(
+                id,
+                if cancel {
+                    Ask::Cancel(id)
+                } else {
+                    Ask::Poll(id)
+                },
+            );
+        }
+    }
+    assert!(world.starts > 20, "nothing_ran: {} starts", world.starts);
+    for (id, (spec, told)) in &world.jobs {
+        if spec.kind == Kind::Array && told.accepted && !told.asked_to_cancel {
+            assert_eq!(told.last, Some(JobStatus::Done), "{id} never ended");
+        }
+    }
+}
+
+/// `LOG_LEVEL` shows what the nodes say, to explain a broken rule.
+fn logging() {
+    let level = std::env::var("LOG_LEVEL").unwrap_or_else(|_| "off".into());
+    let _ = tracing_subscriber::fmt()
+        .with_env_filter(tracing_subscriber::EnvFilter::new(level))
+        .with_test_writer()
+        .without_time()
+        .try_init();
+}
+
+#[test]
+fn no_rule_breaks_whatever_fails() {
+    logging();
+    // `HISTORIES=1000` looks further than the usual run.
+    let count = std::env::var("HISTORIES").ok().and_then(|n| n.parse().ok());
+    for seed in 0..count.unwrap_or(24) {
+        println!("seed {seed}");
+        play(seed);
+    }
+}
