--- /dev/null
+++ b/tests/scheduling.rs
@@ -0,0 +1,273 @@
+//! The books, the scheduler and the autoscaler under generated loads.
+
+use dalelb::{
+    bookkeeping::{
+        autoscaler::Autoscaler,
+        books::{Amounts, Books, MachineState, Phase, TypeIx},
+        scheduler, store,
+    },
+    config::Settings,
+    protocol::{
+        cloud::MachineType,
+        ids::JobId,
+        job::{Kind, Priority, Submission},
+    },
+};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use serde_json::json;
+
+fn kind() -> MachineType {
+    MachineType {
+        name: "c16".into(),
+        cpus: 16.0,
+        gpus: 0.0,
+        ram_gb: 64.0,
+        cache_gb: 10.0,
+        fetch_gb_per_s: 0.5,
+        price: 1.0,
+        spot_price: Some(0.25),
+        boot_s: 15.0,
+        zones: vec!["a".into(), "b".into()],
+    }
+}
+
+fn books(red: (f64, f64), blue: (f64, f64), machines: usize) -> Books {
+    let settings: Settings = serde_json::from_value(json!({
+        "zones": ["a", "b"],
+        "teams": [{"name": "red", "cpus": red.0, "cpus_max": red.1},
+                  {"name": "blue", "cpus": blue.0, "cpus_max": blue.1}],
+        "objectives": [{"kind": "wait", "class": "front", "within_s": 2.0}],
+        "workers": {"report_s": 2.5, "lease_s": 14.0, "cancel_s": 34.0},
+        "state": {"rps": 100.0, "write_rps": 50.0, "value_kb": 16.0, "txn_ops": 24},
+        "cloud": {"rps": 3.0, "list_lag_s": 6.0}
+    }))
+    .unwrap();
+    let mut books = Books::new(&settings, &[kind()]);
+    for number in 0..machines {
+        let zone = books.zone(["a", "b"][number % 2]);
+        let name = format!("vm-{number:06}");
+        let machine = books.add_machine(&name, TypeIx(0), zone, false, 0);
+        books.machines[machine.at()].state = MachineState::Up;
+    }
+    books
+}
+
+fn job(number: u64, team: &str, tasks: u32, cpus: f64) -> Submission {
+    Submission {
+        id: JobId(number),
+        class: "any".into(),
+        team: team.into(),
+        kind: Kind::Array,
+        priority: Priority::Normal,
+        tasks,
+        cpus,
+        gpus: 0.0,
+        ram_gb: 1.0,
+        image: "img".into(),
+        image_gb: 1.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        estimate_s: 60.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    }
+}
+
+fn booked(books: &Books) -> Vec<f64> {
+    books.teams.iter().map(|team| team.booked.cpus).collect()
+}
+
+fn run_all(books: &mut Books, now: u64) {
+    for machine in 0..books.machines.len() as u32 {
+        let machine = dalelb::bookkeeping::books::MachineIx(machine);
+        for at in 0..books.machine(machine).attempts.len() {
+            books.advance(machine, at, Phase::Running, now);
+        }
+    }
+}
+
+#[test]
+fn teams_alternate_whoever_came_first_and_with_however_much() {
+    let mut books = books((0.0, 0.0), (0.0, 0.0), 4);
+    books.add_job(&job(1, "red", 1000, 4.0), 0, 0);
+    books.add_job(&job(2, "blue", 10, 4.0), 99, 0);
+    scheduler::round(&mut books, 0);
+    assert_eq!(booked(&books), [32.0, 32.0]);
+}
+
+#[test]
+fn a_guarantee_is_kept_by_stopping_only_the_excess_of_others() {
+    let mut books = books((16.0, 0.0), (0.0, 0.0), 4);
+    books.add_job(&job(1, "blue", 16, 4.0), 0, 0);
+    scheduler::round(&mut books, 0);
+    run_all(&mut books, 0);
+    assert_eq!(booked(&books), [0.0, 64.0]);
+    books.add_job(&job(2, "red", 100, 4.0), 0, 0);
+    assert_eq!(scheduler::round(&mut books, 1), 0);
+    // Red deserves its 16 and half of the other 48.
+    assert_eq!(scheduler::deserved(&books, 64.0), [40.0, 24.0]);
+    let victims = scheduler::preempt(&books, 1000, false);
+    assert_eq!(victims.len(), 10, "blue keeps its 24");
+    // What was stopped waits again, and red has its turn.
+    for victim in victims.iter().rev() {
+        books.machines[victim.machine.at()].attempts[victim.at].stop = Some(0.0);
+    }
+    let again = scheduler::preempt(&books, 1000, false);
+    assert!(again.is_empty(), "what is being stopped already is enough");
+    for number in 0..4 {
+        let machine = dalelb::bookkeeping::books::MachineIx(number);
+        for at in (0..books.machine(machine).attempts.len()).rev() {
+            if books.machine(machine).attempts[at].stop.is_some() {
+                books.drop_attempt(machine, at, 1001);
+            }
+        }
+    }
+    scheduler::round(&mut books, 1001);
+    assert_eq!(booked(&books), [40.0, 24.0]);
+}
+
+#[test]
+fn limits_room_zones_and_kinds_hold_whatever_comes_and_goes() {
+    for seed in 0..40 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut books = books((8.0, 24.0), (0.0, 48.0), 6);
+        books.machines[5].spot = true;
+        let mut now = 0;
+        for number in 1..60 {
+            now += 500;
+            let team = if rng.random_bool(0.5) { "red" } else { "blue" };
+            let mut spec = job(number, team, rng.random_range(1..12), 4.0);
+            spec.cpus = f64::from(rng.random_range(1..9u32));
+            spec.image = format!("img-{}", number % 5);
+            spec.image_gb = 4.0;
+            if rng.random_bool(0.4) {
+                spec.kind = Kind::Service;
+                spec.class = "front".into();
+                spec.priority = Priority::Production;
+                spec.spot = false;
+                spec.spread = rng.random_bool(0.7);
+                spec.one_zone = !spec.spread && rng.random_bool(0.5);
+            }
+            books.add_job(&spec, number, now);
+            scheduler::round(&mut books, now);
+            for machine in 0..books.machines.len() as u32 {
+                let machine = dalelb::bookkeeping::books::MachineIx(machine);
+                for at in (0..books.machine(machine).attempts.len()).rev() {
+                    let stopping = books.machine(machine).attempts[at].stop.is_some();
+                    if stopping || rng.random_bool(0.1) {
+                        books.drop_attempt(machine, at, now);
+                    } else {
+                        books.advance(machine, at, Phase::Running, now);
+                    }
+                }
+            }
+            assert!(booked(&books)[0] <= 24.0 + 1e-6 && booked(&books)[1] <= 48.0 + 1e-6);
+            for machine in &books.machines {
+                let mut used = Amounts::default();
+                for attempt in &machine.attempts {
+                    let job = books.job(attempt.job);
+                    used.add(&job.need);
+                    assert!(
+                        !machine.spot || job.spot,
+                        "an ordinary job on a spot machine"
+                    );
+                }
+                assert!(used.cpus <= 16.0 + 1e-6, "{} CPUs on 16", used.cpus);
+            }
+            for job in &books.jobs {
+                let most = job.by_zone.iter().max().copied().unwrap_or(0) as usize;
+                assert!(!job.spread || most <= job.tasks.len().div_ceil(2));
+                let zones = job.by_zone.iter().filter(|count| **count > 0).count();
+                assert!(!job.one_zone || zones <= 1);
+            }
+        }
+    }
+}
+
+#[test]
+fn a_replica_that_would_wait_for_its_image_takes_an_arrays_place() {
+    let mut books = books((0.0, 0.0), (0.0, 0.0), 2);
+    let mut warm = job(1, "red", 4, 4.0);
+    warm.image = "front-img".into();
+    books.add_job(&warm, 0, 0);
+    scheduler::round(&mut books, 0);
+    run_all(&mut books, 0);
+    let mut replica = job(2, "blue", 1, 4.0);
+    replica.kind = Kind::Service;
+    replica.class = "front".into();
+    replica.priority = Priority::Production;
+    replica.image = "front-img".into();
+    replica.image_gb = 5.0;
+    replica.spot = false;
+    books.add_job(&replica, 0, 40_000);
+    scheduler::round(&mut books, 40_000);
+    let holder = books
+        .machines
+        .iter()
+        .find(|machine| {
+            machine
+                .attempts
+                .iter()
+                .any(|a| books.job(a.job).id == JobId(2))
+        })
+        .expect("the replica was placed");
+    assert!(
+        holder
+            .attempts
+            .iter()
+            .any(|a| books.job(a.job).id == JobId(1))
+    );
+    let stopped = holder.attempts.iter().filter(|a| a.stop.is_some()).count();
+    assert_eq!(stopped, 1, "one array task gives way, no more");
+}
+
+#[test]
+fn what_waits_is_rented_for_and_what_is_empty_returned() {
+    let mut books = books((0.0, 0.0), (0.0, 0.0), 0);
+    let mut autoscaler = Autoscaler::default();
+    let mut replica = job(1, "red", 4, 4.0);
+    replica.kind = Kind::Service;
+    replica.spread = true;
+    replica.spot = false;
+    books.add_job(&replica, 0, 0);
+    let (rentals, _) = autoscaler.plan(&books, &[], 0, 0);
+    let count: u32 = rentals.iter().map(|rental| rental.count).sum();
+    assert_eq!(count, 2, "half of a spread job in either zone");
+    assert!(rentals.iter().all(|rental| !rental.offer.spot));
+    let (more, _) = autoscaler.plan(&books, &rentals, 0, 0);
+    assert!(more.is_empty(), "what is under way is counted");
+    for rental in &rentals {
+        autoscaler.refuse(rental.offer, 0);
+    }
+    assert!(
+        autoscaler.plan(&books, &[], 0, 0).0.is_empty(),
+        "refused offers rest"
+    );
+
+    let mut books = self::books((0.0, 0.0), (0.0, 0.0), 3);
+    books.add_job(&job(2, "red", 1, 4.0), 0, 0);
+    scheduler::round(&mut books, 0);
+    let (_, returns) = autoscaler.plan(&books, &[], 200_000, 200_000);
+    assert_eq!(returns.len(), 2, "the one with work stays");
+}
+
+#[test]
+fn the_largest_job_fits_the_store_and_a_round() {
+    let mut books = books((0.0, 0.0), (0.0, 0.0), 40);
+    let index = books.add_job(&job(1, "red", 100_000, 0.1), 0, 0).unwrap();
+    while scheduler::round(&mut books, 0) > 0 {}
+    assert!(books.job(index).waiting.len() < 100_000);
+    for chunk in 0..books.job(index).chunks.len() as u32 {
+        let record = store::chunk_record(&books, index, chunk);
+        let value = store::to_value(&record);
+        assert!(value.to_string().len() <= 16 * 1024);
+        assert_eq!(
+            serde_json::from_value::<store::ChunkRecord>(value).unwrap(),
+            record
+        );
+    }
+}
