--- a/src/bookkeeping/scheduler.rs
+++ b/src/bookkeeping/scheduler.rs
@@ -25,18 +25,38 @@
     (units * 1000.0).round() as i64
 }
 
+/// A team's place in the heap: the fewest booked units first. A team that has what it deserves lets
+/// those go first that have not: with guarantees, equal counts are not what teams deserve, and room
+/// freed for a starved team would go to the one that it was taken from.
+fn turn(books: &Books, team: TeamIx, deserved: &[f64]) -> (bool, i64, TeamIx) {
+    let booked = books.units(&books.teams[team.at()].booked);
+    (booked + 1e-6 >= deserved[team.at()], key(booked), team)
+}
+
+/// The units of all machines that can be used.
+fn capacity(books: &Books) -> f64 {
+    let usable = books.machines.iter().filter(|machine| machine.usable());
+    usable
+        .map(|machine| {
+            let kind = &books.types[machine.type_ix.at()];
+            if books.by_gpus() { kind.gpus } else { kind.cpus }
+        })
+        .sum()
+}
+
 /// One allocation round: pops the team with the fewest booked units, places its first task,
 /// reshuffles. A job that fits nowhere, or whose team is at its limit, sits this round out; a team
 /// without another job leaves the heap. Returns how many tasks were placed.
 pub fn round(books: &mut Books, now: Millis) -> usize {
+    let deserved = deserved(books, capacity(books));
     let mut heap: BinaryHeap<_> = (0..books.teams.len() as u32)
         .map(TeamIx)
         .filter(|team| !books.teams[team.at()].queue.is_empty())
-        .map(|team| Reverse((key(books.units(&books.teams[team.at()].booked)), team)))
+        .map(|team| Reverse(turn(books, team, &deserved)))
         .collect();
     let mut stuck: HashSet<JobIx> = HashSet::new();
     let mut placed = 0;
-    while let Some(Reverse((_, team))) = heap.pop() {
+    while let Some(Reverse((_, _, team))) = heap.pop() {
         let next = books.teams[team.at()]
             .queue
             .iter()
@@ -78,8 +98,7 @@
             books.changed = true;
             break;
         }
-        let units = books.units(&books.teams[team.at()].booked);
-        heap.push(Reverse((key(units), team)));
+        heap.push(Reverse(turn(books, team, &deserved)));
     }
     placed
 }
@@ -299,20 +318,7 @@
 /// The trial fit. For each team with waiting work that fits nowhere: would it fit if the excess of
 /// over-share teams, or work of lower priority, were stopped? Only then are those tasks named.
 pub fn preempt(books: &Books, now: Millis, only_services: bool) -> Vec<Victim> {
-    let capacity: f64 = books
-        .machines
-        .iter()
-        .filter(|machine| machine.usable())
-        .map(|machine| {
-            let kind = &books.types[machine.type_ix.at()];
-            books.units(&Amounts {
-                cpus: kind.cpus,
-                gpus: kind.gpus,
-                ram_gb: kind.ram_gb,
-            })
-        })
-        .sum();
-    let deserved = deserved(books, capacity);
+    let deserved = deserved(books, capacity(books));
     let booked: Vec<f64> = books
         .teams
         .iter()
