--- a/src/bookkeeping/scheduler.rs
+++ b/src/bookkeeping/scheduler.rs
@@ -39,7 +39,11 @@
     usable
         .map(|machine| {
             let kind = &books.types[machine.type_ix.at()];
-            if books.by_gpus() { kind.gpus } else { kind.cpus }
+            if books.by_gpus() {
+                kind.gpus
+            } else {
+                kind.cpus
+            }
         })
         .sum()
 }
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -22,7 +22,7 @@
 };
 
 /// An answer: the status and the body.
-type Answer = (u16, Bytes);
+pub type Answer = (u16, Bytes);
 
 /// One pool of connections. A request that gets no answer leaves the pool to be thrown away:
 /// behind a cut, its idle connections are as dead as the one that was used.
@@ -53,7 +53,8 @@
             .build(connector)
     }
 
-    async fn call(
+    /// Status and body; `None`: no answer.
+    pub async fn call(
         &self,
         method: Method,
         addr: &str,
--- /dev/null
+++ b/tests/end_to_end.rs
@@ -0,0 +1,495 @@
+//! Real processes on loopback against stand-ins of the state service, the cloud and a worker.
+
+mod model;
+
+use std::{
+    collections::BTreeMap,
+    convert::Infallible,
+    net::{SocketAddr, TcpListener as StdListener},
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use dalelb::{
+    protocol::{self, cloud::*, ids::TaskId, job::JobStatus, job::JobView, state::*, worker::*},
+    transport::client::Http,
+};
+use http::{Method, Response};
+use model::Store;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::process::{Child, Command};
+use warp::Filter;
+
+/// How long anything may take; far above what it does.
+const PATIENCE: Duration = Duration::from_secs(40);
+
+fn reply<T: serde::Serialize>(status: u16, body: &T) -> Response<Bytes> {
+    let mut response = Response::new(Bytes::from(protocol::encode(body)));
+    *response.status_mut() = http::StatusCode::from_u16(status).expect("a status");
+    response
+}
+
+fn shown(result: StateReply) -> Response<Bytes> {
+    match result {
+        StateReply::Page(page) => reply(200, &page),
+        StateReply::Row(row) => reply(200, &row),
+        StateReply::Missing => reply(404, &json!({"ledger": 1})),
+        StateReply::Committed(revision) => reply(200, &Committed { revision }),
+        StateReply::Conflict(failed) => reply(409, &Conflict { failed }),
+        StateReply::Granted(id) => reply(200, &Lease { id }),
+        StateReply::Touched => reply(200, &json!({})),
+        StateReply::NoLease => reply(404, &json!({"error": "no such lease"})),
+        StateReply::Changes(changes) => reply(200, &changes),
+        StateReply::TooOld => reply(410, &json!({})),
+    }
+}
+
+#[derive(Deserialize)]
+struct Query {
+    #[serde(default)]
+    after: Option<String>,
+    #[serde(default)]
+    limit: Option<u32>,
+    #[serde(default)]
+    hold_ms: Option<u64>,
+    starts: Option<String>,
+}
+
+/// The prefixes that the service asks for; the model's requests hold them as constants.
+fn prefix(query: &Query) -> &'static str {
+    match query.starts.as_deref() {
+        Some("shared/") => "shared/",
+        Some("books/") => "books/",
+        other => panic!("an unexpected prefix {other:?}"),
+    }
+}
+
+type Shared = Arc<Mutex<Store>>;
+
+async fn serve(store: Shared, request: StateRequest) -> Result<Response<Bytes>, Infallible> {
+    let began = Instant::now();
+    loop {
+        let now = epoch().elapsed().as_millis() as u64;
+        {
+            let mut store = store.lock().expect("the store");
+            store.expire(now);
+            let mut request = request.clone();
+            if let StateRequest::Changes { hold_ms, .. } = &mut request {
+                *hold_ms = hold_ms.saturating_sub(began.elapsed().as_millis() as u64);
+            }
+            if let Some(answer) = store.serve(&request, now) {
+                return Ok(shown(answer));
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+fn epoch() -> Instant {
+    static EPOCH: std::sync::OnceLock<Instant> = std::sync::OnceLock::new();
+    *EPOCH.get_or_init(Instant::now)
+}
+
+fn listener() -> (tokio::net::TcpListener, SocketAddr) {
+    let listener = StdListener::bind("127.0.0.1:0").expect("a port");
+    listener.set_nonblocking(true).expect("non-blocking");
+    let addr = listener.local_addr().expect("its address");
+    (
+        tokio::net::TcpListener::from_std(listener).expect("a listener"),
+        addr,
+    )
+}
+
+fn state_service() -> SocketAddr {
+    let store: Shared = Arc::default();
+    let with = warp::any().map(move || store.clone());
+    let get = with
+        .clone()
+        .and(warp::path("kv"))
+        .and(warp::path::tail())
+        .and(warp::query::<Query>())
+        .and(warp::get())
+        .and_then(|store, key: warp::path::Tail, query: Query| {
+            let request = if key.as_str().is_empty() {
+                StateRequest::List {
+                    prefix: prefix(&query),
+                    after: query.after,
+                    limit: query.limit.unwrap_or(1000),
+                }
+            } else {
+                StateRequest::Get {
+                    key: key.as_str().to_owned(),
+                }
+            };
+            serve(store, request)
+        });
+    let changes = with
+        .clone()
+        .and(warp::path!("changes"))
+        .and(warp::query::<Query>())
+        .and_then(|store, query: Query| {
+            let request = StateRequest::Changes {
+                prefix: prefix(&query),
+                after: query.after.and_then(|n| n.parse().ok()).unwrap_or(0),
+                hold_ms: query.hold_ms.unwrap_or(0),
+            };
+            serve(store, request)
+        });
+    let txn = with
+        .clone()
+        .and(warp::path!("txn"))
+        .and(warp::body::bytes())
+        .and_then(|store, body: Bytes| {
+            serve(
+                store,
+                StateRequest::Txn(protocol::decode(&body).expect("a txn")),
+            )
+        });
+    let grant = with
+        .clone()
+        .and(warp::path!("holds"))
+        .and(warp::body::bytes())
+        .and_then(|store, body: Bytes| {
+            let lease: LeaseRequest = protocol::decode(&body).expect("a lease");
+            serve(
+                store,
+                StateRequest::Grant {
+                    life_ms: lease.life_ms,
+                },
+            )
+        });
+    let touch = with
+        .clone()
+        .and(warp::path!("holds" / u64 / "touch"))
+        .and(warp::post())
+        .and_then(|store, lease| serve(store, StateRequest::Touch { lease }));
+    let release = with
+        .and(warp::path!("holds" / u64))
+        .and(warp::delete())
+        .and_then(|store, lease| serve(store, StateRequest::Release { lease }));
+    let routes = get.or(changes).unify().or(txn).unify().or(grant).unify();
+    let routes = routes.or(touch).unify().or(release).unify();
+    let (listener, addr) = listener();
+    tokio::spawn(warp::serve(routes).incoming(listener).run());
+    addr
+}
+
+fn cloud(worker: SocketAddr) -> SocketAddr {
+    let types = warp::path!("machine_types").map(|| {
+        let kind = json!({"sku": "c8", "cpus": 8, "gpus": 0, "ram_gb": 32, "local_gb": 50,
+            "pull_gb_per_s": 1.0, "hourly": 1.0, "spot_price": 0.3, "ready_s": 5, "yards": ["a"]});
+        reply(200, &json!({ "builds": [kind] }))
+    });
+    let list = warp::path!("machines").and(warp::get()).map(move || {
+        let machine = ListedMachine {
+            id: "vm-000001".into(),
+            addr: Some(worker.to_string()),
+            type_name: "c8".into(),
+            zone: "a".into(),
+            spot: false,
+            status: MachineStatus::Running,
+            age_s: 10.0,
+        };
+        let machines = vec![machine];
+        reply(
+            200,
+            &MachineList {
+                machines,
+                more: false,
+            },
+        )
+    });
+    let rent = warp::path!("machines")
+        .and(warp::post())
+        .map(|| reply(503, &json!({"error": "no capacity"})));
+    let routes = types.or(list).unify().or(rent).unify();
+    let (listener, addr) = listener();
+    tokio::spawn(warp::serve(routes).incoming(listener).run());
+    addr
+}
+
+struct Machine {
+    addr: String,
+    seq: u64,
+    token: u64,
+    tasks: BTreeMap<TaskId, (u64, TaskState, Option<Cause>, Instant)>,
+}
+
+impl Machine {
+    fn report(&mut self) -> Report {
+        self.seq += 1;
+        for (state, cause, began) in self.tasks.values_mut().map(|t| (&mut t.1, &mut t.2, t.3)) {
+            if *state == TaskState::Running && began.elapsed() > Duration::from_millis(300) {
+                *state = TaskState::Ended;
+                *cause = Some(Cause::Done);
+            }
+        }
+        let tasks = self
+            .tasks
+            .iter()
+            .map(|(task, (attempt, state, cause, _))| TaskReport {
+                task: *task,
+                attempt: *attempt,
+                state: *state,
+                cause: *cause,
+                saved: None,
+            });
+        Report {
+            machine: "vm-000001".into(),
+            addr: self.addr.clone(),
+            type_name: "c8".into(),
+            zone: "a".into(),
+            spot: false,
+            session: 1,
+            seq: self.seq,
+            token: self.token,
+            notice_s: None,
+            tasks: tasks.collect(),
+        }
+    }
+
+    fn obey(&mut self, token: u64, orders: Vec<Order>) -> bool {
+        if token < self.token {
+            return false;
+        }
+        self.token = token;
+        for order in orders {
+            match order {
+                Order::Start { task, attempt } => {
+                    let entry = (attempt, TaskState::Running, None, Instant::now());
+                    self.tasks.entry(task).or_insert(entry);
+                }
+                Order::Stop { task, .. } => {
+                    if let Some(entry) = self.tasks.get_mut(&task) {
+                        (entry.1, entry.2) = (TaskState::Ended, Some(Cause::Stopped));
+                    }
+                }
+                Order::Forget { task, .. } => {
+                    self.tasks.remove(&task);
+                }
+            }
+        }
+        true
+    }
+}
+
+fn worker(nodes: Vec<(String, SocketAddr)>) -> SocketAddr {
+    let (listener, addr) = listener();
+    let machine = Arc::new(Mutex::new(Machine {
+        addr: addr.to_string(),
+        seq: 0,
+        token: 0,
+        tasks: BTreeMap::new(),
+    }));
+    let state = machine.clone();
+    let commands = warp::path!("commands")
+        .and(warp::body::bytes())
+        .map(move |body: Bytes| {
+            let direct: DirectOrders = protocol::decode(&body).expect("orders");
+            let mut machine = state.lock().expect("the machine");
+            let executed = direct.session == 1 && machine.obey(direct.token, direct.orders);
+            reply(if executed { 200 } else { 409 }, &machine.report())
+        });
+    let state = machine.clone();
+    let status =
+        warp::path!("status").map(move || reply(200, &state.lock().expect("the machine").report()));
+    let routes = commands.or(status).unify();
+    tokio::spawn(warp::serve(routes).incoming(listener).run());
+    tokio::task::spawn_local(async move {
+        let http = Http::new(1, false);
+        let mut at = 0;
+        loop {
+            let report = protocol::encode(&machine.lock().expect("the machine").report());
+            let to = nodes[at].1.to_string();
+            let second = Duration::from_secs(1);
+            match http
+                .call(Method::POST, &to, "/checkin", report, second)
+                .await
+            {
+                Some((200, body)) => {
+                    let orders: Orders = protocol::decode(&body).expect("orders");
+                    let mut machine = machine.lock().expect("the machine");
+                    machine.obey(orders.token, orders.orders);
+                }
+                Some((421, body)) => {
+                    let to: Redirect = protocol::decode(&body).expect("a leader");
+                    at = nodes
+                        .iter()
+                        .position(|(label, _)| Some(label) == to.leader.as_ref())
+                        .unwrap_or((at + 1) % nodes.len());
+                }
+                _ => at = (at + 1) % nodes.len(),
+            }
+            tokio::time::sleep(Duration::from_millis(300)).await;
+        }
+    });
+    addr
+}
+
+fn free_port() -> u16 {
+    let listener = StdListener::bind("127.0.0.1:0").expect("a port");
+    listener.local_addr().expect("its address").port()
+}
+
+fn node(index: usize, ports: &[(u16, u16)], state: SocketAddr, cloud: SocketAddr) -> Child {
+    let members: Vec<Value> = (0..ports.len())
+        .filter(|other| *other != index)
+        .map(|other| {
+            json!({"label": format!("n{other}"), "domain": "a",
+                   "address": format!("127.0.0.1:{}", ports[other].1)})
+        })
+        .collect();
+    let settings = json!({
+        "label": format!("n{index}"), "domain": "a", "members": members,
+        "listen": format!("127.0.0.1:{}", ports[index].0),
+        "mesh_addr": format!("127.0.0.1:{}", ports[index].1),
+        "services": {"cloud": cloud.to_string(), "state": state.to_string()},
+        "settings": {
+            "zones": ["a"], "teams": [{"name": "red"}],
+            "workers": {"report_s": 0.3, "lease_s": 14.0, "cancel_s": 34.0},
+            "state": {"rps": 400.0, "write_rps": 200.0, "value_kb": 16.0, "txn_ops": 24},
+            "cloud": {"rps": 10.0, "list_lag_s": 1.0}
+        }
+    });
+    let name = format!("dalelb-e2e-{}-{index}.json", std::process::id());
+    let path = std::env::temp_dir().join(name);
+    std::fs::write(&path, settings.to_string()).expect("a settings file");
+    Command::new(env!("CARGO_BIN_EXE_dalelb"))
+        .args(["serve", "--log-level", "warn", "--config"])
+        .arg(path)
+        .kill_on_drop(true)
+        .spawn()
+        .expect("the program runs")
+}
+
+async fn until<T, F: Future<Output = Option<T>>>(what: &str, mut ask: impl FnMut() -> F) -> T {
+    let began = Instant::now();
+    loop {
+        if let Some(answer) = ask().await {
+            return answer;
+        }
+        assert!(began.elapsed() < PATIENCE, "never: {what}");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+fn job(id: &str, shape: &str, team: &str) -> Vec<u8> {
+    protocol::encode(
+        &json!({"id": id, "lane": "any", "crew": team, "shape": shape,
+        "urgency": "high", "pieces": 5, "cpus": 1.0, "gpus": 0.0, "ram_gb": 1.0, "kit": "img",
+        "size_gb": 0.1, "together": false, "apart": false, "loaners": false, "guess_s": 1.0,
+        "bookmark_s": 0.0, "stash_s": 0.0}),
+    )
+}
+
+#[tokio::test]
+async fn jobs_run_to_their_end_and_survive_the_leader() {
+    tokio::task::LocalSet::new().run_until(a_day()).await;
+}
+
+async fn a_day() {
+    let ports: Vec<(u16, u16)> = (0..2).map(|_| (free_port(), free_port())).collect();
+    let state = state_service();
+    let addrs: Vec<SocketAddr> = ports
+        .iter()
+        .map(|(listen, _)| SocketAddr::from(([127, 0, 0, 1], *listen)))
+        .collect();
+    let named = addrs
+        .iter()
+        .enumerate()
+        .map(|(i, addr)| (format!("n{i}"), *addr));
+    let cloud = cloud(worker(named.collect()));
+    let mut first = node(0, &ports, state, cloud);
+    let http = Arc::new(Http::new(1, false));
+    let call = |method: Method, to: usize, path: String, body: Vec<u8>| {
+        let (http, addr) = (http.clone(), addrs[to].to_string());
+        async move {
+            http.call(method, &addr, &path, body, Duration::from_secs(5))
+                .await
+        }
+    };
+    let ready = |to: usize| {
+        let answer = call(Method::GET, to, "/ready".into(), Vec::new());
+        async move { answer.await.filter(|(status, _)| *status == 200) }
+    };
+    until("the first node is ready", || ready(0)).await;
+    let _second = node(1, &ports, state, cloud);
+    until("the second node is ready", || ready(1)).await;
+    let submit = |to: usize, body: Vec<u8>, status: u16| {
+        let answer = call(Method::POST, to, "/v2/runs".into(), body);
+        async move { answer.await.filter(|(got, _)| *got == status) }
+    };
+    let ended = |to: usize, id: &str, status: JobStatus| {
+        let answer = call(Method::GET, to, format!("/v2/runs/{id}"), Vec::new());
+        async move {
+            let (_, body) = answer.await.filter(|(got, _)| *got == 200)?;
+            let view: JobView = protocol::decode(&body).ok()?;
+            (view.status == status).then_some(())
+        }
+    };
+
+    until("accepted", || {
+        submit(0, job("j-000001", "array", "red"), 201)
+    })
+    .await;
+    until("known to the other", || {
+        submit(1, job("j-000001", "array", "red"), 200)
+    })
+    .await;
+    until("done", || ended(1, "j-000001", JobStatus::Done)).await;
+    until("refused for its team", || {
+        submit(1, job("j-000002", "array", "green"), 422)
+    })
+    .await;
+    until("refused as malformed", || {
+        submit(0, b"nonsense".to_vec(), 400)
+    })
+    .await;
+    let mut large = job("j-000003", "array", "red");
+    large.resize(70_000, 0);
+    until("refused for its size", || submit(0, large.clone(), 400)).await;
+    for path in ["/v2/runs/j-999999", "/v2/runs/odd", "/nowhere"] {
+        let answer = call(Method::GET, 1, path.into(), Vec::new()).await;
+        assert_eq!(answer.map(|(status, _)| status), Some(404), "{path}");
+    }
+
+    until("a service accepted", || {
+        submit(1, job("j-000004", "standing", "red"), 201)
+    })
+    .await;
+    until("a service runs", || {
+        ended(0, "j-000004", JobStatus::Running)
+    })
+    .await;
+    let cancel = || {
+        let answer = call(
+            Method::POST,
+            1,
+            "/v2/runs/j-000004/abort".into(),
+            Vec::new(),
+        );
+        async move { answer.await.filter(|(status, _)| *status == 200) }
+    };
+    until("cancelled", cancel).await;
+    until("cancelled everywhere", || {
+        ended(0, "j-000004", JobStatus::Cancelled)
+    })
+    .await;
+
+    first
+        .kill()
+        .await
+        .expect("the first node, which led, is killed");
+    until("accepted without it", || {
+        submit(1, job("j-000005", "array", "red"), 201)
+    })
+    .await;
+    until("done without it", || ended(1, "j-000005", JobStatus::Done)).await;
+    until("still done", || ended(1, "j-000001", JobStatus::Done)).await;
+    for index in 0..2 {
+        let name = format!("dalelb-e2e-{}-{index}.json", std::process::id());
+        let _ = std::fs::remove_file(std::env::temp_dir().join(name));
+    }
+}
--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -2,6 +2,8 @@
 //! cloud and of the workers, and a network that delays, loses, holds back and reorders. The rules of
 //! the protocol are checked at every start and after every answer.
 
+mod model;
+
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BinaryHeap, HashMap, HashSet},
@@ -19,6 +21,7 @@
         worker::*,
     },
 };
+use model::Store;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use serde_json::{Value, json};
 
@@ -51,185 +54,6 @@
     .expect("a valid configuration")
 }
 
-#[derive(Default)]
-struct Store {
-    keys: BTreeMap<String, (Value, u64, Option<u64>)>,
-    revision: u64,
-    leases: HashMap<u64, (u64, u64)>,
-    log: Vec<(u64, Event)>,
-    next_lease: u64,
-    down_until: u64,
-}
-
-impl Store {
-    fn expire(&mut self, now: u64) {
-        if self.down_until > now {
-            return;
-        }
-        let over: Vec<u64> = self
-            .leases
-            .iter()
-            .filter(|(_, (until, _))| *until < now)
-            .map(|(id, _)| *id)
-            .collect();
-        for lease in over {
-            self.end(lease);
-        }
-    }
-
-    fn end(&mut self, lease: u64) {
-        self.leases.remove(&lease);
-        let gone: Vec<String> = self
-            .keys
-            .iter()
-            .filter(|(_, (_, _, on))| *on == Some(lease))
-            .map(|(key, _)| key.clone())
-            .collect();
-        if !gone.is_empty() {
-            self.revision += 1;
-        }
-        for key in gone {
-            self.keys.remove(&key);
-            self.log.push((
-                self.revision,
-                Event::Delete {
-                    key,
-                    version: self.revision,
-                },
-            ));
-        }
-    }
-
-    fn fail(&mut self, now: u64, until: u64) {
-        self.down_until = until;
-        for (end, life) in self.leases.values_mut() {
-            *end = until + *life;
-        }
-        let _ = now;
-    }
-
-    fn row(&self, key: &str) -> Option<Row> {
-        let (value, version, _) = self.keys.get(key)?;
-        Some(Row {
-            key: key.to_owned(),
-            value: value.clone(),
-            version: *version,
-        })
-    }
-
-    /// `None`: a watch that has to wait.
-    fn serve(&mut self, request: &StateRequest, now: u64) -> Option<StateReply> {
-        Some(match request {
-            StateRequest::Get { key } => self.row(key).map_or(StateReply::Missing, StateReply::Row),
-            StateRequest::List {
-                prefix,
-                after,
-                limit,
-            } => {
-                let mut rows: Vec<Row> = self
-                    .keys
-                    .keys()
-                    .filter(|key| key.starts_with(prefix))
-                    .filter(|key| after.as_ref().is_none_or(|after| *key > after))
-                    .filter_map(|key| self.row(key))
-                    .take(*limit as usize + 1)
-                    .collect();
-                let more = rows.len() > *limit as usize;
-                rows.truncate(*limit as usize);
-                StateReply::Page(Page {
-                    rows,
-                    more,
-                    revision: self.revision,
-                })
-            }
-            StateRequest::Txn(txn) => {
-                for write in &txn.writes {
-                    if let Write::Put {
-                        lease: Some(lease), ..
-                    } = write
-                        && !self.leases.contains_key(lease)
-                    {
-                        return Some(StateReply::NoLease);
-                    }
-                }
-                let failed: Vec<String> = txn
-                    .conditions
-                    .iter()
-                    .filter(|c| self.keys.get(&c.key).map_or(0, |(_, v, _)| *v) != c.version)
-                    .map(|c| c.key.clone())
-                    .collect();
-                if !failed.is_empty() {
-                    return Some(StateReply::Conflict(failed));
-                }
-                self.revision += 1;
-                for write in &txn.writes {
-                    let event = match write.clone() {
-                        Write::Put { key, value, lease } => {
-                            let entry = (value.clone(), self.revision, lease);
-                            self.keys.insert(key.clone(), entry);
-                            Event::Put {
-                                key,
-                                value,
-                                version: self.revision,
-                            }
-                        }
-                        Write::Delete { key } => {
-                            self.keys.remove(&key);
-                            Event::Delete {
-                                key,
-                                version: self.revision,
-                            }
-                        }
-                    };
-                    self.log.push((self.revision, event));
-                }
-                StateReply::Committed(self.revision)
-            }
-            StateRequest::Grant { life_ms } => {
-                self.next_lease += 1;
-                self.leases
-                    .insert(self.next_lease, (now + life_ms, *life_ms));
-                StateReply::Granted(self.next_lease)
-            }
-            StateRequest::Touch { lease } => match self.leases.get_mut(lease) {
-                Some((until, life)) => {
-                    *until = now + *life;
-                    StateReply::Touched
-                }
-                None => StateReply::NoLease,
-            },
-            StateRequest::Release { lease } => {
-                self.end(*lease);
-                StateReply::Touched
-            }
-            StateRequest::Changes {
-                prefix,
-                after,
-                hold_ms,
-            } => {
-                let events: Vec<Event> = self
-                    .log
-                    .iter()
-                    .filter(|(revision, _)| revision > after)
-                    .map(|(_, event)| event.clone())
-                    .filter(|event| match event {
-                        Event::Put { key, .. } | Event::Delete { key, .. } => {
-                            key.starts_with(prefix)
-                        }
-                    })
-                    .collect();
-                if events.is_empty() && *hold_ms > 0 {
-                    return None;
-                }
-                StateReply::Changes(Changes {
-                    revision: self.revision,
-                    events,
-                })
-            }
-        })
-    }
-}
-
 #[derive(Clone)]
 struct OnWorker {
     attempt: u64,
@@ -936,7 +760,13 @@
         match self.rng.random_range(0..8) {
             0 => self.crash(index),
             1 => (0..NODES).for_each(|each| self.crash(each)),
-            2 => self.store.fail(self.now, until),
+            2 => {
+                // After an outage all leases get their full time again.
+                self.store.down_until = until;
+                for (end, life) in self.store.leases.values_mut() {
+                    *end = until + *life;
+                }
+            }
             3 => self.cut_store[index] = until,
             4 => self.cut_workers[index] = until,
             5 => {
--- /dev/null
+++ b/tests/model/mod.rs
@@ -0,0 +1,178 @@
+//! A model of the state service.
+
+use std::collections::{BTreeMap, HashMap};
+
+use dalelb::protocol::state::*;
+use serde_json::Value;
+
+/// Keys, versions, leases and the log of changes, by the published protocol.
+#[derive(Default)]
+pub struct Store {
+    pub keys: BTreeMap<String, (Value, u64, Option<u64>)>,
+    pub revision: u64,
+    pub leases: HashMap<u64, (u64, u64)>,
+    pub log: Vec<(u64, Event)>,
+    pub next_lease: u64,
+    pub down_until: u64,
+}
+
+impl Store {
+    pub fn expire(&mut self, now: u64) {
+        if self.down_until > now {
+            return;
+        }
+        let over: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|(_, (until, _))| *until < now)
+            .map(|(id, _)| *id)
+            .collect();
+        for lease in over {
+            self.end(lease);
+        }
+    }
+
+    pub fn end(&mut self, lease: u64) {
+        self.leases.remove(&lease);
+        let gone: Vec<String> = self
+            .keys
+            .iter()
+            .filter(|(_, (_, _, on))| *on == Some(lease))
+            .map(|(key, _)| key.clone())
+            .collect();
+        if !gone.is_empty() {
+            self.revision += 1;
+        }
+        for key in gone {
+            self.keys.remove(&key);
+            self.log.push((
+                self.revision,
+                Event::Delete {
+                    key,
+                    version: self.revision,
+                },
+            ));
+        }
+    }
+
+    pub fn row(&self, key: &str) -> Option<Row> {
+        let (value, version, _) = self.keys.get(key)?;
+        Some(Row {
+            key: key.to_owned(),
+            value: value.clone(),
+            version: *version,
+        })
+    }
+
+    /// `None`: a watch that has to wait.
+    pub fn serve(&mut self, request: &StateRequest, now: u64) -> Option<StateReply> {
+        Some(match request {
+            StateRequest::Get { key } => self.row(key).map_or(StateReply::Missing, StateReply::Row),
+            StateRequest::List {
+                prefix,
+                after,
+                limit,
+            } => {
+                let mut rows: Vec<Row> = self
+                    .keys
+                    .keys()
+                    .filter(|key| key.starts_with(prefix))
+                    .filter(|key| after.as_ref().is_none_or(|after| *key > after))
+                    .filter_map(|key| self.row(key))
+                    .take(*limit as usize + 1)
+                    .collect();
+                let more = rows.len() > *limit as usize;
+                rows.truncate(*limit as usize);
+                StateReply::Page(Page {
+                    rows,
+                    more,
+                    revision: self.revision,
+                })
+            }
+            StateRequest::Txn(txn) => {
+                for write in &txn.writes {
+                    if let Write::Put {
+                        lease: Some(lease), ..
+                    } = write
+                        && !self.leases.contains_key(lease)
+                    {
+                        return Some(StateReply::NoLease);
+                    }
+                }
+                let failed: Vec<String> = txn
+                    .conditions
+                    .iter()
+                    .filter(|c| self.keys.get(&c.key).map_or(0, |(_, v, _)| *v) != c.version)
+                    .map(|c| c.key.clone())
+                    .collect();
+                if !failed.is_empty() {
+                    return Some(StateReply::Conflict(failed));
+                }
+                self.revision += 1;
+                for write in &txn.writes {
+                    let event = match write.clone() {
+                        Write::Put { key, value, lease } => {
+                            let entry = (value.clone(), self.revision, lease);
+                            self.keys.insert(key.clone(), entry);
+                            Event::Put {
+                                key,
+                                value,
+                                version: self.revision,
+                            }
+                        }
+                        Write::Delete { key } => {
+                            self.keys.remove(&key);
+                            Event::Delete {
+                                key,
+                                version: self.revision,
+                            }
+                        }
+                    };
+                    self.log.push((self.revision, event));
+                }
+                StateReply::Committed(self.revision)
+            }
+            StateRequest::Grant { life_ms } => {
+                self.next_lease += 1;
+                self.leases
+                    .insert(self.next_lease, (now + life_ms, *life_ms));
+                StateReply::Granted(self.next_lease)
+            }
+            StateRequest::Touch { lease } => match self.leases.get_mut(lease) {
+                Some((until, life)) => {
+                    *until = now + *life;
+                    StateReply::Touched
+                }
+                None => StateReply::NoLease,
+            },
+            StateRequest::Release { lease } => {
+                self.end(*lease);
+                StateReply::Touched
+            }
+            StateRequest::Changes {
+                prefix,
+                after,
+                hold_ms,
+            } => {
+                let events: Vec<Event> = self
+                    .log
+                    .iter()
+                    .filter(|(revision, _)| revision > after)
+                    .map(|(_, event)| event.clone())
+                    .filter(|event| match event {
+                        Event::Put { key, .. } | Event::Delete { key, .. } => {
+                            key.starts_with(prefix)
+                        }
+                    })
+                    .collect();
+                if events.is_empty() && *hold_ms > 0 {
+                    return None;
+                }
+                StateReply::Changes(Changes {
+                    revision: self.revision,
+                    events,
+                })
+            }
+        })
+    }
+}
