--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -6,6 +6,7 @@
     collections::BTreeMap,
     convert::Infallible,
     net::{SocketAddr, TcpListener as StdListener},
+    rc::Rc,
     sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
@@ -402,7 +403,7 @@
         .map(|(i, addr)| (format!("n{i}"), *addr));
     let cloud = cloud(worker(named.collect()));
     let mut first = node(0, &ports, state, cloud);
-    let http = Arc::new(Http::new(1, false));
+    let http = Rc::new(Http::new(1, false));
     let call = |method: Method, to: usize, path: String, body: Vec<u8>| {
         let (http, addr) = (http.clone(), addrs[to].to_string());
         async move {
--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -106,6 +106,9 @@
     last: Option<JobStatus>,
 }
 
+/// Who asks a deputy: node, life, time of sending, lease, and the deputy's label.
+type Asker = (usize, u64, u64, u64, String);
+
 enum Asked {
     /// The job, whether it is to be cancelled, and what its user had been told when asking.
     User(JobId, bool, bool, Option<JobStatus>),
@@ -132,7 +135,7 @@
     jobs: BTreeMap<JobId, (Submission, Told)>,
     completed: HashSet<TaskId>,
     asks: HashMap<(usize, u64, AskId), Asked>,
-    revokes: HashMap<(usize, u64, AskId), (usize, u64, u64, u64, String)>,
+    revokes: HashMap<(usize, u64, AskId), Asker>,
     next_ask: AskId,
     starts: usize,
     faults: bool,
