Within a priority the job that can wait least goes first

Cause: on bursts jobs with near deadlines waited behind older ones that had time left. Age stays the order, shifted by deadline less estimate.

--- a/src/bookkeeping/books.rs
+++ b/src/bookkeeping/books.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
 
-use super::Millis;
+use super::{Millis, millis};
 use crate::{
     config::{Objective, Settings},
     protocol::{
@@ -52,6 +52,9 @@
     }
 }
 
+/// How long a job without a deadline is taken to be able to wait, next to those that have one.
+const NO_DEADLINE: Millis = 60_000;
+
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Amounts {
     pub cpus: f64,
@@ -137,6 +140,9 @@
     pub priority: Priority,
     /// When it was submitted, by the accepting node's time of day.
     pub submitted_ms: u64,
+    /// Its place among its team's jobs of the same priority: its age, where a deadline counts as
+    /// that much age as its tasks can't wait.
+    pub turn_ms: u64,
     /// When this node first heard of it.
     pub seen_at: Millis,
     pub need: Amounts,
@@ -492,6 +498,9 @@
         };
         let zone = spec.zone.as_deref().map(|name| self.zone(name));
         let count = spec.tasks;
+        let wait_ms = spec
+            .deadline_s
+            .map_or(NO_DEADLINE, |due| millis((due - spec.estimate_s).max(0.0)));
         let job = Job {
             id: spec.id,
             team,
@@ -499,6 +508,7 @@
             kind: spec.kind,
             priority: spec.priority,
             submitted_ms,
+            turn_ms: submitted_ms + wait_ms,
             seen_at: now,
             need: Amounts {
                 cpus: spec.cpus,
@@ -534,7 +544,7 @@
             errors: 0,
             failed_on: VecDeque::new(),
         };
-        let key = (job.priority, job.submitted_ms);
+        let key = (job.priority, job.turn_ms);
         let index = match self.free_jobs.pop() {
             Some(index) => {
                 self.jobs[index.at()] = job;
@@ -666,8 +676,7 @@
         let team = &mut self.teams[job.team.at()];
         team.booked.add(&job.need);
         if job.waiting.is_empty() {
-            team.queue
-                .remove(&(job.priority, job.submitted_ms, attempt.job));
+            team.queue.remove(&(job.priority, job.turn_ms, attempt.job));
         }
         machine.attempts.push(attempt);
     }
@@ -753,7 +762,7 @@
             return;
         }
         entry.waiting.insert(task);
-        let key = (entry.priority, entry.submitted_ms, job);
+        let key = (entry.priority, entry.turn_ms, job);
         self.teams[entry.team.at()].queue.insert(key);
     }
 
@@ -766,7 +775,7 @@
             entry.done += 1;
             entry.waiting.remove(&task);
             if entry.waiting.is_empty() {
-                let key = (entry.priority, entry.submitted_ms, job);
+                let key = (entry.priority, entry.turn_ms, job);
                 self.teams[entry.team.at()].queue.remove(&key);
             }
             if entry.complete() {
@@ -781,7 +790,7 @@
         let job = &mut self.jobs[index.at()];
         job.closed = true;
         job.waiting.clear();
-        let key = (job.priority, job.submitted_ms, index);
+        let key = (job.priority, job.turn_ms, index);
         self.teams[job.team.at()].queue.remove(&key);
         self.complete.remove(&index);
         for number in 0..job.chunks.len() as u32 {
