--- a/src/bookkeeping/scheduler.rs
+++ b/src/bookkeeping/scheduler.rs
@@ -352,7 +352,10 @@
     let mut taken: HashSet<(MachineIx, usize)> = HashSet::new();
     let mut victims = Vec::new();
     for team in order {
-        let mut hope = deserved[team] - booked[team];
+        // Beyond its guarantee a team waits for what others return: the protocol lets nobody stop
+        // work of the same or a higher priority for more than a guarantee.
+        let guarantee = books.units(&books.teams[team].guarantee);
+        let mut hope = deserved[team].min(guarantee) - booked[team];
         let mut budget = books.teams[team].booked;
         for &(priority, _, job) in &books.teams[team].queue {
             let entry = books.job(job);
