Gangs: placed whole or not at all

Now its tasks are placed together, its workers' causes are known, and it is never stopped for others.

--- a/src/bookkeeping/books.rs
+++ b/src/bookkeeping/books.rs
@@ -182,7 +182,7 @@
     }
 
     pub fn complete(&self) -> bool {
-        self.kind == Kind::Array && self.done as usize == self.tasks.len()
+        self.kind != Kind::Service && self.done as usize == self.tasks.len()
     }
 
     /// Whether a further task may be in `zone`, given the others.
--- a/src/bookkeeping/scheduler.rs
+++ b/src/bookkeeping/scheduler.rs
@@ -69,6 +69,21 @@
         let Some(job) = next else {
             continue;
         };
+        if books.job(job).kind == Kind::Gang {
+            match gang(books, job, now) {
+                Some(places) => {
+                    placed += places.len();
+                    for (task, machine) in places {
+                        books.place(job, task, machine, now);
+                    }
+                }
+                None => {
+                    stuck.insert(job);
+                }
+            }
+            heap.push(Reverse(turn(books, team, &deserved)));
+            continue;
+        }
         let entry = books.job(job);
         let task = entry.waiting.first().copied();
         let target = task.filter(|_| entry.not_before <= now).and_then(|task| {
@@ -107,6 +122,43 @@
     placed
 }
 
+/// Places for all waiting tasks of a gang, or none: it is popped whole or not at all.
+fn gang(books: &Books, job: JobIx, now: Millis) -> Option<Vec<(u32, MachineIx)>> {
+    let entry = books.job(job);
+    let mut whole = Amounts::default();
+    for _ in &entry.waiting {
+        whole.add(&entry.need);
+    }
+    if entry.not_before > now || !books.teams[entry.team.at()].allows(&whole) {
+        return None;
+    }
+    let half = entry.tasks.len().div_ceil(2);
+    let try_zone = |only: Option<usize>| {
+        let mut rooms: Vec<Amounts> = books.machines.iter().map(|m| books.room(m)).collect();
+        let mut by_zone = entry.by_zone.clone();
+        let mut places = Vec::new();
+        for &task in &entry.waiting {
+            let (at, machine) = books.machines.iter().enumerate().find(|(at, machine)| {
+                books.fits(entry, machine)
+                    && machine.avoid_until <= now
+                    && !machine.holds(job, task)
+                    && only.is_none_or(|zone| zone == machine.zone.at())
+                    && (!entry.spread || (by_zone[machine.zone.at()] as usize) < half)
+                    && entry.need.fits_in(&rooms[*at])
+            })?;
+            rooms[at].sub(&entry.need);
+            by_zone[machine.zone.at()] += 1;
+            places.push((task, MachineIx(at as u32)));
+        }
+        Some(places)
+    };
+    if entry.one_zone {
+        (0..books.zone_names.len()).find_map(|zone| try_zone(Some(zone)))
+    } else {
+        try_zone(None)
+    }
+}
+
 /// Whether a replica that is aimed to start soon would do so there, for all that its image takes.
 fn in_time(books: &Books, job: &Job, machine: MachineIx, now: Millis) -> bool {
     let Some(within) = books.aims[job.class.at()].start_s else {
@@ -148,7 +200,7 @@
             })
             .filter_map(|(at, attempt)| {
                 let loser = books.job(attempt.job);
-                (loser.priority > entry.priority)
+                (loser.priority > entry.priority && loser.kind != Kind::Gang)
                     .then(|| (loser.priority, cut_s(loser, attempt, now), at))
             })
             .collect();
@@ -251,7 +303,7 @@
     };
     // Arrays can wait for an image; what they pay for is machines that never empty out.
     let (fetching, packing) = match job.kind {
-        Kind::Array => (0.3, 3.0),
+        Kind::Array | Kind::Gang => (0.3, 3.0),
         Kind::Service => (1.0, 1.0),
     };
     fetching * fetch_s + packing * left + borrowed + crowd
@@ -359,7 +411,11 @@
         let mut budget = books.teams[team].booked;
         for &(priority, _, job) in &books.teams[team].queue {
             let entry = books.job(job);
-            if entry.not_before > now || (only_services && entry.kind != Kind::Service) {
+            // A gang waits for room of its own; nobody is stopped for a part of it.
+            if entry.kind == Kind::Gang
+                || entry.not_before > now
+                || (only_services && entry.kind != Kind::Service)
+            {
                 continue;
             }
             let units = books.units(&entry.need);
@@ -450,6 +506,7 @@
             .filter(|(at, attempt)| {
                 attempt.phase != Phase::Ended
                     && attempt.stop.is_none()
+                    && books.job(attempt.job).kind != Kind::Gang
                     && !taken.contains(&(index, *at))
             })
             .filter_map(|(at, attempt)| {
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -574,7 +574,7 @@
     let machine = &mut books.machines[on.at()];
     let job = &mut books.jobs[index.at()];
     match cause {
-        Cause::Done | Cause::Stopped => {}
+        Cause::Done | Cause::Stopped | Cause::PeersGone | Cause::Alone => {}
         Cause::NoRoom | Cause::Busy => machine.avoid_until = now + AVOID_FULL,
         Cause::Unknown => job.not_before = now + AVOID_FULL,
         Cause::Error | Cause::Other => {
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -282,7 +282,7 @@
         }
         let tasks = match job.kind {
             Kind::Array => 1.0,
-            Kind::Service => f64::from(job.tasks),
+            Kind::Gang | Kind::Service => f64::from(job.tasks),
         };
         let over = |limit: f64, need: f64| limit > 0.0 && tasks * need > limit + 1e-6;
         if over(team.cpus_max, job.cpus) || over(team.gpus_max, job.gpus) {
--- a/src/protocol/job.rs
+++ b/src/protocol/job.rs
@@ -14,6 +14,9 @@
 pub enum Kind {
     #[serde(rename = "array")]
     Array,
+    /// All tasks run at the same time, or none.
+    #[serde(rename = "group")]
+    Gang,
     #[serde(rename = "standing")]
     Service,
 }
--- a/src/protocol/worker.rs
+++ b/src/protocol/worker.rs
@@ -8,7 +8,7 @@
 pub enum TaskState {
     #[serde(rename = "pulling")]
     Fetching,
-    /// Waiting for the rest of its gang; no job of today has one.
+    /// Waiting for the rest of its gang.
     #[serde(rename = "gathering")]
     Gathering,
     #[serde(rename = "running")]
@@ -33,6 +33,12 @@
     Busy,
     #[serde(rename = "unknown")]
     Unknown,
+    /// Others of its gang are gone.
+    #[serde(rename = "mates_gone")]
+    PeersGone,
+    /// Its gang did not get together in time.
+    #[serde(rename = "incomplete")]
+    Alone,
     /// A cause that this version does not know: treated like an error.
     #[serde(other)]
     Other,
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -275,3 +275,18 @@
         );
     }
 }
+
+#[test]
+fn a_gang_is_placed_whole_or_not_at_all() {
+    let mut books = books((0.0, 0.0), (0.0, 0.0), 4);
+    let mut gang = job(1, "red", 9, 4.0);
+    gang.kind = Kind::Gang;
+    gang.one_zone = true;
+    let index = books.add_job(&gang, 0, 0).unwrap();
+    assert_eq!(scheduler::round(&mut books, 0), 0, "a zone holds eight");
+    let zone = books.zone("a");
+    let more = books.add_machine("vm-000009", TypeIx(0), zone, false, 0);
+    books.machines[more.at()].state = MachineState::Up;
+    assert_eq!(scheduler::round(&mut books, 0), 9);
+    assert_eq!(books.job(index).by_zone, [9, 0]);
+}
