--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -827,6 +827,22 @@
                         },
                     );
                 }
+                // Now and then it is too much for the store, or its log does not go back so far.
+                let refused = self.faults && self.rng.random_bool(0.01);
+                let too_old = matches!(request, StateRequest::Changes { .. });
+                if refused {
+                    let result = if too_old {
+                        Ok(StateReply::TooOld)
+                    } else {
+                        Err(StateError::Refused(429))
+                    };
+                    let command = Command::State {
+                        tag,
+                        sent_at,
+                        result,
+                    };
+                    return self.reply(index, life, ticket, command);
+                }
                 self.store.expire(self.now);
                 match self.store.serve(&request, self.now) {
                     Some(reply) => {
