The leader's notes go into a log: one write carries all changes, whatever the job

Now one entry of a log carries what changed in all jobs; entries live in a ring of keys, pages replace them when it comes round; notes merge in any order.

--- a/src/bookkeeping/books.rs
+++ b/src/bookkeeping/books.rs
@@ -120,15 +120,13 @@
     pub attempt: u32,
 }
 
-/// How a stretch of a job's tasks stands with the store.
+/// How the page on a stretch of a job's tasks stands with the store.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Chunk {
     /// The key's version; 0: not in the store.
     pub version: u64,
-    /// Counts changes in memory.
-    pub changed: u64,
-    /// The value of `changed` that the store surely holds.
-    pub stored: u64,
+    /// The page covers all log entries up to this one.
+    pub paged: u64,
     pub in_flight: bool,
 }
 
@@ -227,8 +225,6 @@
     pub cause: Option<Cause>,
     pub placed_at: Millis,
     pub running_since: Option<Millis>,
-    /// The change of the task's chunk that must be stored before a start (or a reap) is sent.
-    pub needs: u64,
     /// A start was sent, by this leader or perhaps by an earlier one.
     pub sent: bool,
     /// Taken over from a predecessor's notes, and not seen yet. It is never started again: the
@@ -351,8 +347,10 @@
     pub machines: Vec<Machine>,
     pub machine_index: HashMap<String, MachineIx>,
     pub chunk_len: u32,
-    /// Chunks with changes that the store does not hold.
-    pub dirty: BTreeSet<(JobIx, u32)>,
+    /// Tasks with changes that the store does not hold and that no write under way carries.
+    pub unlogged: BTreeSet<(JobIx, u32)>,
+    /// Tasks whose changes are being written.
+    pub logging: BTreeSet<(JobIx, u32)>,
     /// Jobs whose last task is done, to be recorded as done.
     pub complete: BTreeSet<JobIx>,
     /// Set whenever a scheduling round could find something new to do.
@@ -400,7 +398,8 @@
             machines: Vec::new(),
             machine_index: HashMap::new(),
             chunk_len: super::store::chunk_len(settings.state.value_kb),
-            dirty: BTreeSet::new(),
+            unlogged: BTreeSet::new(),
+            logging: BTreeSet::new(),
             complete: BTreeSet::new(),
             changed: true,
         };
@@ -626,20 +625,12 @@
             && job.allows_zone(machine.zone)
     }
 
-    fn touch_chunk(&mut self, job: JobIx, task: u32) -> u64 {
-        let number = task / self.chunk_len;
-        let chunk = &mut self.jobs[job.at()].chunks[number as usize];
-        chunk.changed += 1;
-        self.dirty.insert((job, number));
-        chunk.changed
-    }
-
-    /// Books a new attempt; its start may be sent once the chunk is stored.
+    /// Books a new attempt; its start may be sent once that is stored.
     pub fn place(&mut self, job: JobIx, task: u32, on: MachineIx, now: Millis) {
         let entry = &mut self.jobs[job.at()].tasks[task as usize];
         debug_assert_eq!(entry.status, TaskStatus::Waiting);
         let attempt = entry.attempt + 1;
-        let needs = self.touch_chunk(job, task);
+        self.unlogged.insert((job, task));
         self.book(
             Attempt {
                 job,
@@ -649,7 +640,6 @@
                 cause: None,
                 placed_at: now,
                 running_since: None,
-                needs,
                 sent: false,
                 inherited: false,
                 outstanding: false,
@@ -767,7 +757,7 @@
     }
 
     /// The task has completed.
-    pub fn complete_task(&mut self, job: JobIx, task: u32) -> u64 {
+    pub fn complete_task(&mut self, job: JobIx, task: u32) {
         let entry = &mut self.jobs[job.at()];
         let state = &mut entry.tasks[task as usize];
         if state.status != TaskStatus::Done {
@@ -782,7 +772,7 @@
                 self.complete.insert(job);
             }
         }
-        self.touch_chunk(job, task)
+        self.unlogged.insert((job, task));
     }
 
     /// The job is over: nothing of it is placed any more, and what runs is to be stopped.
@@ -793,8 +783,9 @@
         let key = (job.priority, job.turn_ms, index);
         self.teams[job.team.at()].queue.remove(&key);
         self.complete.remove(&index);
-        for number in 0..job.chunks.len() as u32 {
-            self.dirty.remove(&(index, number));
+        let unlogged = self.unlogged.range(of_job(index)).copied();
+        for note in unlogged.collect::<Vec<_>>() {
+            self.unlogged.remove(&note);
         }
         for machine in &mut self.machines {
             for attempt in &mut machine.attempts {
@@ -807,9 +798,29 @@
         self.changed = true;
     }
 
-    /// Whether the store holds what the attempt's start or reap waits for.
-    pub fn stored(&self, attempt: &Attempt) -> bool {
-        let job = &self.jobs[attempt.job.at()];
-        job.chunks[(attempt.task / self.chunk_len) as usize].stored >= attempt.needs
+    /// Whether the store holds what is known of the task: where it was placed, or that it is done.
+    pub fn stored(&self, job: JobIx, task: u32) -> bool {
+        !self.unlogged.contains(&(job, task)) && !self.logging.contains(&(job, task))
+    }
+
+    /// Whether all changes of the job's tasks are stored or in the write that is under way.
+    pub fn written(&self, job: JobIx) -> bool {
+        self.unlogged.range(of_job(job)).next().is_none()
     }
+
+    /// Forgets a job that is over, unless a write under way still names it.
+    pub fn free_job(&mut self, index: JobIx) -> bool {
+        if self.logging.range(of_job(index)).next().is_some() {
+            return false;
+        }
+        let job = &mut self.jobs[index.at()];
+        self.job_index.remove(&job.id);
+        job.tasks = Vec::new();
+        self.free_jobs.push(index);
+        true
+    }
+}
+
+fn of_job(job: JobIx) -> std::ops::RangeInclusive<(JobIx, u32)> {
+    (job, 0)..=(job, u32::MAX)
 }
--- a/src/bookkeeping/store.rs
+++ b/src/bookkeeping/store.rs
@@ -3,12 +3,20 @@
 //! * `shared/`: followed by every node. `shared/job/<id>` is a job's record, `shared/leader` names
 //!   the leader (on its lease), `shared/term` holds the term, `shared/types` the machine types
 //!   as the cloud last told them, `shared/deputy/<node>` is a node's right to renew workers' leases.
-//! * `books/task/<id>/<chunk>`: the leader's notes on a stretch of a job's tasks.
+//! * `books/log/<slot>`: the leader's log, a ring of entries. An entry notes what changed since the
+//!   one before, for tasks of any number of jobs, so that a change costs a part of a write only.
+//! * `books/task/<id>/<chunk>`: a page, all that is known of a stretch of a job's tasks. Pages are
+//!   written when the ring comes round, for what the oldest entries name.
+//!
+//! Notes on one task are put in order by attempt and by what can follow what, so that it makes no
+//! difference in which order a successor reads them, or whether it reads one twice.
+
+use std::collections::HashMap;
 
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-use super::books::{Books, JobIx, MachineIx, TaskStatus};
+use super::books::{Books, JobIx, MachineIx, Task, TaskStatus};
 use crate::protocol::{ids::JobId, job::Submission};
 
 pub const SHARED: &str = "shared/";
@@ -19,6 +27,9 @@
 pub const BOOKS: &str = "books/";
 const JOB: &str = "shared/job/";
 const TASK: &str = "books/task/";
+const LOG: &str = "books/log/";
+/// Entries that the ring has room for.
+pub const SLOTS: u32 = 256;
 
 pub fn job_key(id: JobId) -> String {
     format!("{JOB}{id}")
@@ -46,6 +57,14 @@
     Some((id.parse().ok()?, chunk.parse().ok()?))
 }
 
+pub fn slot_key(slot: u32) -> String {
+    format!("{LOG}{slot:05}")
+}
+
+pub fn parse_slot_key(key: &str) -> Option<u32> {
+    key.strip_prefix(LOG)?.parse().ok()
+}
+
 /// A job's record: the submission until the job is over, then only how it ended.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "status", rename_all = "lowercase")]
@@ -81,13 +100,25 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Note {
+    /// It may be on this one of the record's machines.
+    #[serde(rename = "m")]
+    On(u32),
     #[serde(rename = "w")]
     Waiting,
     #[serde(rename = "d")]
     Done,
-    /// It may be on this one of the chunk's machines.
-    #[serde(rename = "m")]
-    On(u32),
+}
+
+impl Note {
+    /// Notes on one attempt, the later ones higher: an attempt that was noted as gone does not
+    /// come back, and what is done stays so.
+    pub fn rank(self) -> u8 {
+        match self {
+            Note::On(_) => 0,
+            Note::Waiting => 1,
+            Note::Done => 2,
+        }
+    }
 }
 
 /// Enough of a machine to ask it, and to count what runs there, before it is heard of.
@@ -100,19 +131,37 @@
     pub addr: Option<String>,
 }
 
-/// A stretch of a job's tasks. It repeats what its job takes: the job's own record forgets that
-/// when the job is cancelled, but what is still being stopped counts.
+/// What a job takes. Notes repeat it: the job's own record forgets it when the job is cancelled, but
+/// what is still being stopped counts.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct ChunkRecord {
+pub struct JobNote {
     pub team: String,
     pub of: u32,
     pub cpus: f64,
     pub gpus: f64,
     pub ram_gb: f64,
+}
+
+/// A page: a stretch of a job's tasks.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ChunkRecord {
+    #[serde(flatten)]
+    pub job: JobNote,
     pub machines: Vec<MachineNote>,
     pub tasks: Vec<TaskNote>,
 }
 
+/// An entry of the log: the latest on tasks that changed, job by job.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LogRecord {
+    /// Counts entries; never used again.
+    pub seq: u64,
+    /// Entries before this one count no more: pages hold what they said.
+    pub first: u64,
+    pub machines: Vec<MachineNote>,
+    pub jobs: Vec<(JobId, JobNote, Vec<TaskNote>)>,
+}
+
 /// The longest note with a machine of its own, as JSON.
 const NOTE_BYTES: f64 = 160.0;
 
@@ -125,45 +174,116 @@
     serde_json::to_value(record).expect("records hold only plain data")
 }
 
-/// The record of a chunk as the books have it now.
-pub fn chunk_record(books: &Books, index: JobIx, chunk: u32) -> ChunkRecord {
-    let job = books.job(index);
-    let first = (chunk * books.chunk_len) as usize;
-    let last = (first + books.chunk_len as usize).min(job.tasks.len());
-    let mut on: Vec<MachineIx> = Vec::new();
-    let mut notes = Vec::new();
-    for (at, task) in job.tasks[first..last].iter().enumerate() {
+/// Machines that a record names, each once.
+#[derive(Default)]
+struct Named {
+    at: HashMap<MachineIx, u32>,
+    notes: Vec<MachineNote>,
+}
+
+impl Named {
+    fn note(&mut self, books: &Books, machine: MachineIx) -> u32 {
+        *self.at.entry(machine).or_insert_with(|| {
+            let machine = books.machine(machine);
+            self.notes.push(MachineNote {
+                name: machine.name.clone(),
+                kind: books.types[machine.type_ix.at()].name.clone(),
+                zone: books.zone_names[machine.zone.at()].clone(),
+                spot: machine.spot,
+                addr: machine.addr.clone(),
+            });
+            self.notes.len() as u32 - 1
+        })
+    }
+
+    fn task(&mut self, books: &Books, index: u32, task: &Task) -> TaskNote {
         let note = match task.status {
-            TaskStatus::Waiting if task.attempt == 0 => continue,
             TaskStatus::Waiting => Note::Waiting,
             TaskStatus::Done => Note::Done,
-            TaskStatus::Active(machine) => {
-                let known = on.iter().position(|each| *each == machine);
-                Note::On(known.unwrap_or_else(|| {
-                    on.push(machine);
-                    on.len() - 1
-                }) as u32)
-            }
+            TaskStatus::Active(machine) => Note::On(self.note(books, machine)),
         };
-        notes.push(TaskNote((first + at) as u32, task.attempt, note));
+        TaskNote(index, task.attempt, note)
     }
-    let machines = on.into_iter().map(|machine| {
-        let machine = books.machine(machine);
-        MachineNote {
-            name: machine.name.clone(),
-            kind: books.types[machine.type_ix.at()].name.clone(),
-            zone: books.zone_names[machine.zone.at()].clone(),
-            spot: machine.spot,
-            addr: machine.addr.clone(),
-        }
-    });
-    ChunkRecord {
+}
+
+fn job_note(books: &Books, index: JobIx) -> JobNote {
+    let job = books.job(index);
+    JobNote {
         team: books.teams[job.team.at()].name.clone(),
         of: job.tasks.len() as u32,
         cpus: job.need.cpus,
         gpus: job.need.gpus,
         ram_gb: job.need.ram_gb,
-        machines: machines.collect(),
+    }
+}
+
+/// The record of a chunk as the books have it now.
+pub fn chunk_record(books: &Books, index: JobIx, chunk: u32) -> ChunkRecord {
+    let tasks = &books.job(index).tasks;
+    let first = (chunk * books.chunk_len) as usize;
+    let last = (first + books.chunk_len as usize).min(tasks.len());
+    let mut named = Named::default();
+    let notes = tasks[first..last]
+        .iter()
+        .enumerate()
+        .filter(|(_, task)| task.attempt > 0 || task.status != TaskStatus::Waiting)
+        .map(|(at, task)| named.task(books, (first + at) as u32, task))
+        .collect();
+    ChunkRecord {
+        job: job_note(books, index),
+        machines: named.notes,
         tasks: notes,
     }
 }
+
+/// No number in a note is written longer than this.
+const NUMBER_BYTES: usize = 24;
+
+/// Takes tasks off the front of `tasks` for one entry whose JSON has at most `bytes` bytes; at least
+/// one is taken.
+pub fn log_record(
+    books: &Books,
+    tasks: &mut std::iter::Peekable<impl Iterator<Item = (JobIx, u32)>>,
+    (seq, first): (u64, u64),
+    bytes: usize,
+) -> LogRecord {
+    let mut named = Named::default();
+    let mut jobs: Vec<(JobId, JobNote, Vec<TaskNote>)> = Vec::new();
+    let mut used = 128;
+    while let Some(&(index, task)) = tasks.peek() {
+        let job = books.job(index);
+        let entry = &job.tasks[task as usize];
+        used += 2 * NUMBER_BYTES;
+        if let TaskStatus::Active(on) = entry.status
+            && !named.at.contains_key(&on)
+        {
+            let machine = books.machine(on);
+            used += 64
+                + machine.name.len()
+                + machine.addr.as_ref().map_or(0, String::len)
+                + books.types[machine.type_ix.at()].name.len()
+                + books.zone_names[machine.zone.at()].len();
+        }
+        let new_job = jobs.last().is_none_or(|(id, ..)| *id != job.id);
+        if new_job {
+            used += 64 + 5 * NUMBER_BYTES + books.teams[job.team.at()].name.len();
+        }
+        if used > bytes && !jobs.is_empty() {
+            break;
+        }
+        if new_job {
+            jobs.push((job.id, job_note(books, index), Vec::new()));
+        }
+        let note = named.task(books, task, entry);
+        if let Some((.., notes)) = jobs.last_mut() {
+            notes.push(note);
+        }
+        tasks.next();
+    }
+    LogRecord {
+        seq,
+        first,
+        machines: named.notes,
+        jobs,
+    }
+}
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -208,7 +208,7 @@
             for (at, attempt) in machine.attempts.iter().enumerate() {
                 let task = books.job(attempt.job).task_id(attempt.task);
                 if attempt.phase == Phase::Placed && !attempt.sent && may_start {
-                    if books.stored(attempt) {
+                    if books.stored(attempt.job, attempt.task) {
                         starts.push((at, task, u64::from(attempt.attempt)));
                     }
                 } else if let Some(grace_s) = attempt.stop
@@ -543,8 +543,7 @@
         let latest = books.job(job).tasks[task as usize];
         if cause == Cause::Done {
             if !closed && latest.status == TaskStatus::Active(on) && latest.attempt == number {
-                let needs = books.complete_task(job, task);
-                books.machines[on.at()].attempts[at].needs = needs;
+                books.complete_task(job, task);
             }
             books.machines[on.at()].attempts[at].settled = true;
             books.machines[on.at()].failures.clear();
@@ -690,7 +689,8 @@
         let attempt = u64::from(entry.attempt);
         match (entry.phase, entry.stop) {
             (Phase::Placed, None) => {
-                if may_start && books.stored(entry) && !entry.outstanding && !entry.inherited {
+                let stored = books.stored(entry.job, entry.task);
+                if may_start && stored && !entry.outstanding && !entry.inherited {
                     orders.push(Order::Start { task, attempt });
                     let checkins = machine.checkins;
                     let entry = &mut books.machines[on.at()].attempts[at];
@@ -704,7 +704,7 @@
             (Phase::Ended, _) => {
                 let told = entry.cause != Some(Cause::Done)
                     || books.job(entry.job).closed
-                    || books.stored(entry);
+                    || books.stored(entry.job, entry.task);
                 if entry.settled && told && !machine.start_in_flight(entry) {
                     orders.push(Order::Forget { task, attempt });
                 }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -7,7 +7,9 @@
 mod directory;
 mod fleet;
 mod leader;
+mod notes;
 mod renting;
+mod takeover;
 mod users;
 
 use std::collections::HashMap;
@@ -177,7 +179,9 @@
     Touch { lease: u64 },
     Release,
     Books { lease: u64 },
-    Flush { lease: u64, id: u64 },
+    Flush { lease: u64 },
+    SlotCheck { lease: u64, slot: u32 },
+    Page { lease: u64 },
     ChunkCheck { lease: u64, job: JobId, chunk: u32 },
     Fence { lease: u64 },
     FenceCheck { lease: u64 },
@@ -315,7 +319,9 @@
             StateTag::Touch { lease } => self.touched(lease, sent_at, result),
             StateTag::Release => {}
             StateTag::Books { lease } => self.books_read(lease, result),
-            StateTag::Flush { lease, id } => self.flushed(lease, id, result),
+            StateTag::Flush { lease } => self.flushed(lease, result),
+            StateTag::SlotCheck { lease, slot } => self.slot_checked(lease, slot, result),
+            StateTag::Page { lease } => self.paged(lease, result),
             StateTag::ChunkCheck { lease, job, chunk } => {
                 self.chunk_checked(lease, job, chunk, result)
             }
--- /dev/null
+++ b/src/coordination/notes.rs
@@ -0,0 +1,689 @@
+//! The leader's notes in the state service: the log of what changed, pages, and the end of jobs.
+//!
+//! The store takes few writes a second, and tasks start and end far more often. So one entry of the
+//! log carries all that changed since the one before, whatever jobs it belongs to. Entries live in a
+//! ring of keys, each written against the version that it is known to have: a write that is applied
+//! late, after its slot was used again, changes nothing. Before the ring comes round, pages are
+//! written for what the oldest entries name; later entries say from where on the log counts.
+
+use std::collections::{BTreeSet, HashSet, VecDeque};
+
+use super::{Node, StateTag, directory::Entry, leader::TXN_TIMEOUT};
+use crate::{
+    bookkeeping::{
+        Millis,
+        books::{Books, JobIx},
+        store::{self, JobRecord, LogRecord},
+    },
+    protocol::{
+        ids::JobId,
+        state::{Condition, StateError, StateReply, StateRequest, Txn, Urgency, Write},
+    },
+};
+
+const RETRY: Millis = 150;
+/// Kept below a transaction's 64 KiB.
+const TXN_BYTES: usize = 48 * 1024;
+/// The part of the leader's writes that the log may take.
+const LOG_PART: f64 = 0.4;
+/// Entries from which on the oldest are replaced by pages.
+const LONG: usize = store::SLOTS as usize / 2;
+const LONG_BYTES: usize = 256 * 1024;
+/// Least time between two writes of pages, while there is room in the ring.
+const PAGE_EVERY: Millis = 250;
+const SWEEP: Millis = 1000;
+
+/// A stretch of a job's tasks.
+type Stretch = (JobIx, JobId, u32);
+
+/// An entry that a successor would read.
+struct LiveEntry {
+    seq: u64,
+    slot: u32,
+    /// The version of the slot's key; while the entry is being written, the one before.
+    version: u64,
+    bytes: usize,
+    names: Vec<Stretch>,
+}
+
+#[derive(Clone, Copy)]
+enum Slot {
+    /// The key's version.
+    Free(u64),
+    /// An entry that counts, or one whose fate is not known.
+    Taken,
+}
+
+/// A write of the log under way.
+struct Flush {
+    entries: Vec<LiveEntry>,
+    finals: Vec<(JobIx, JobId)>,
+}
+
+/// Pages under way, each with the last entry that it covers.
+struct Paging {
+    pages: Vec<Stretch>,
+    covers: u64,
+}
+
+/// How the notes stand with the store.
+pub struct Notes {
+    slots: Vec<Slot>,
+    cursor: u32,
+    next_seq: u64,
+    /// Entries before this one count no more.
+    first: u64,
+    live: VecDeque<LiveEntry>,
+    live_bytes: usize,
+    flush: Option<Flush>,
+    flushed_at: Millis,
+    flush_after: Millis,
+    paging: Option<Paging>,
+    paged_at: Millis,
+    swept_at: Millis,
+    sweeping: Vec<JobId>,
+}
+
+impl Default for Notes {
+    fn default() -> Self {
+        Notes {
+            slots: vec![Slot::Free(0); store::SLOTS as usize],
+            cursor: 0,
+            next_seq: 1,
+            first: 1,
+            live: VecDeque::new(),
+            live_bytes: 0,
+            flush: None,
+            flushed_at: 0,
+            flush_after: 0,
+            paging: None,
+            paged_at: 0,
+            swept_at: 0,
+            sweeping: Vec::new(),
+        }
+    }
+}
+
+impl Notes {
+    /// Goes on where the predecessors' entries end. `entries`: slot, version, record.
+    pub fn inherit(entries: &[(u32, u64, LogRecord)], books: &Books) -> Self {
+        let mut notes = Notes::default();
+        for (slot, version, record) in entries {
+            if let Some(known) = notes.slots.get_mut(*slot as usize) {
+                *known = Slot::Free(*version);
+            }
+            notes.next_seq = notes.next_seq.max(record.seq + 1);
+            notes.first = notes.first.max(record.first);
+        }
+        let mut live: Vec<_> = entries
+            .iter()
+            .filter(|(.., record)| record.seq >= notes.first)
+            .collect();
+        live.sort_by_key(|(.., record)| record.seq);
+        for (slot, version, record) in live {
+            let names = record.jobs.iter().filter_map(|(id, _, tasks)| {
+                let index = *books.job_index.get(id)?;
+                Some(tasks.iter().map(move |note| (index, *id, note.0)))
+            });
+            let names = stretches(books, names.flatten());
+            notes.add_live(LiveEntry {
+                seq: record.seq,
+                slot: *slot,
+                version: *version,
+                bytes: store::to_value(record).to_string().len(),
+                names,
+            });
+            notes.cursor = slot + 1;
+        }
+        notes
+    }
+
+    fn add_live(&mut self, entry: LiveEntry) {
+        self.slots[entry.slot as usize] = Slot::Taken;
+        self.live_bytes += entry.bytes;
+        self.live.push_back(entry);
+    }
+
+    /// The next slot that can be written: its number and the version of its key.
+    fn next_slot(&mut self) -> Option<(u32, u64)> {
+        for _ in 0..store::SLOTS {
+            let slot = self.cursor % store::SLOTS;
+            self.cursor = slot + 1;
+            if let Slot::Free(version) = self.slots[slot as usize] {
+                return Some((slot, version));
+            }
+        }
+        None
+    }
+
+    fn long(&self) -> bool {
+        self.live.len() > LONG || self.live_bytes > LONG_BYTES
+    }
+}
+
+/// The stretches that tasks lie in, each once.
+fn stretches(books: &Books, tasks: impl Iterator<Item = (JobIx, JobId, u32)>) -> Vec<Stretch> {
+    tasks
+        .map(|(job, id, task)| (job, id, task / books.chunk_len))
+        .collect::<BTreeSet<_>>()
+        .into_iter()
+        .collect()
+}
+
+/// Whether a page has to be written before entry `seq`, which names the stretch, may be forgotten.
+/// Of a job that is over, only what may still be running counts.
+fn uncovered(books: &Books, held: &HashSet<JobIx>, &(job, id, chunk): &Stretch, seq: u64) -> bool {
+    let known = books.job_index.get(&id) == Some(&job);
+    if !known || (books.job(job).closed && !held.contains(&job)) {
+        return false;
+    }
+    books.job(job).chunks[chunk as usize].paged < seq
+}
+
+/// Jobs of which something may be on a machine.
+fn held(books: &Books) -> HashSet<JobIx> {
+    let attempts = books.machines.iter().flat_map(|machine| &machine.attempts);
+    attempts.map(|attempt| attempt.job).collect()
+}
+
+impl Node {
+    /// Least time between two entries: the log takes a part of the leader's writes, and what comes
+    /// meanwhile shares the next one.
+    fn log_gap(&self) -> Millis {
+        let writes = self.config.settings.state.write_rps * LOG_PART;
+        (1000.0 / writes.max(0.1)) as Millis
+    }
+
+    /// Writes what changed, and the end of jobs whose tasks are all done.
+    pub(super) fn flush(&mut self) {
+        let limits = &self.config.settings.state;
+        let ops = limits.txn_ops as usize;
+        let value_bytes = (limits.value_kb * 1024.0) as usize;
+        let gap = self.log_gap();
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let leader = leading.condition();
+        let notes = &mut leading.notes;
+        let Some(books) = &mut leading.books else {
+            return;
+        };
+        if notes.flush.is_some()
+            || notes.flush_after > self.now
+            || notes.flushed_at + gap > self.now
+            || (books.unlogged.is_empty() && books.complete.is_empty())
+        {
+            return;
+        }
+        let mut txn = Txn {
+            conditions: vec![leader],
+            writes: Vec::new(),
+        };
+        let mut flush = Flush {
+            entries: Vec::new(),
+            finals: Vec::new(),
+        };
+        let mut bytes = 512;
+        while !books.unlogged.is_empty() && (txn.writes.len() + 1 < ops || ops == 1) {
+            let room = value_bytes.min(TXN_BYTES.saturating_sub(bytes));
+            if (room < value_bytes.min(4096) && !flush.entries.is_empty())
+                || txn.writes.len() >= ops
+            {
+                break;
+            }
+            let Some((slot, version)) = notes.next_slot() else {
+                break;
+            };
+            let seq = notes.next_seq;
+            notes.next_seq += 1;
+            let mut tasks = books.unlogged.iter().copied().peekable();
+            let record = store::log_record(books, &mut tasks, (seq, notes.first), room);
+            let rest = tasks.peek().copied();
+            let later = rest.map_or_else(BTreeSet::new, |rest| books.unlogged.split_off(&rest));
+            let taken = std::mem::replace(&mut books.unlogged, later);
+            let named = taken
+                .iter()
+                .map(|&(job, task)| (job, books.job(job).id, task));
+            let names = stretches(books, named);
+            books.logging.extend(taken);
+            let value = store::to_value(&record);
+            let size = value.to_string().len();
+            bytes += size + 256;
+            let key = store::slot_key(slot);
+            txn.conditions.push(Condition {
+                key: key.clone(),
+                version,
+            });
+            txn.writes.push(Write::Put {
+                key,
+                value,
+                lease: None,
+            });
+            // Not free until the answer says so.
+            notes.slots[slot as usize] = Slot::Taken;
+            flush.entries.push(LiveEntry {
+                seq,
+                slot,
+                version,
+                bytes: size,
+                names,
+            });
+        }
+        for job in books.complete.clone() {
+            if txn.writes.len() >= ops {
+                break;
+            }
+            let entry = books.job(job);
+            let Some(Entry::Live(live)) = self.directory.get(entry.id) else {
+                books.complete.remove(&job);
+                continue;
+            };
+            if !books.written(job) || entry.finishing {
+                continue;
+            }
+            let id = entry.id;
+            let key = store::job_key(id);
+            txn.conditions.push(Condition {
+                key: key.clone(),
+                version: live.version,
+            });
+            txn.writes.push(Write::Put {
+                key,
+                value: store::to_value(&JobRecord::Done),
+                lease: None,
+            });
+            books.jobs[job.at()].finishing = true;
+            flush.finals.push((job, id));
+        }
+        if txn.writes.is_empty() {
+            return;
+        }
+        notes.flush = Some(flush);
+        notes.flushed_at = self.now;
+        let lease = leading.lease;
+        self.state(
+            StateTag::Flush { lease },
+            StateRequest::Txn(txn),
+            Urgency::Prompt,
+            TXN_TIMEOUT,
+        );
+    }
+
+    pub(super) fn flushed(&mut self, lease: u64, result: Result<StateReply, StateError>) {
+        if !self.leads(lease) {
+            return;
+        }
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let notes = &mut leading.notes;
+        let (Some(flush), Some(books)) = (notes.flush.take(), &mut leading.books) else {
+            return;
+        };
+        for (job, _) in &flush.finals {
+            books.jobs[job.at()].finishing = false;
+        }
+        let logged = std::mem::take(&mut books.logging);
+        if let Ok(StateReply::Committed(version)) = result {
+            for entry in flush.entries {
+                notes.add_live(LiveEntry { version, ..entry });
+            }
+            for (_, id) in flush.finals {
+                tracing::info!(job = %id, "done");
+                let change = self.directory.put_job(id, JobRecord::Done, version);
+                self.changed(change);
+            }
+            return;
+        }
+        // What is not stored is noted again, in other slots; the late write, should it be applied
+        // after all, says nothing that the later one contradicts.
+        let again = logged
+            .into_iter()
+            .filter(|(job, _)| !books.job(*job).closed);
+        books.unlogged.extend(again.collect::<Vec<_>>());
+        let doubt = match &result {
+            Ok(StateReply::Conflict(failed)) => {
+                if failed.iter().any(|key| key == store::LEADER) {
+                    tracing::warn!("a write found another leader");
+                    return self.step_down();
+                }
+                tracing::debug!(?failed, "conflict");
+                true
+            }
+            Err(StateError::NoAnswer) => true,
+            _ => false,
+        };
+        let finals = !flush.finals.is_empty();
+        notes.flush_after = self.now + if doubt && !finals { 0 } else { RETRY };
+        for entry in flush.entries {
+            if doubt {
+                self.check_slot(lease, entry.slot);
+            } else if let Some(leading) = &mut self.leading {
+                leading.notes.slots[entry.slot as usize] = Slot::Free(entry.version);
+            }
+        }
+        if doubt && finals {
+            // Cancelled meanwhile, or done after all: the job's record tells.
+            self.want_sync();
+        }
+    }
+
+    fn check_slot(&mut self, lease: u64, slot: u32) {
+        self.state(
+            StateTag::SlotCheck { lease, slot },
+            StateRequest::Get {
+                key: store::slot_key(slot),
+            },
+            Urgency::Normal,
+            TXN_TIMEOUT,
+        );
+    }
+
+    pub(super) fn slot_checked(
+        &mut self,
+        lease: u64,
+        slot: u32,
+        result: Result<StateReply, StateError>,
+    ) {
+        if !self.leads(lease) {
+            return;
+        }
+        let version = match result {
+            Ok(StateReply::Row(row)) => row.version,
+            Ok(StateReply::Missing) => 0,
+            _ => return self.check_slot(lease, slot),
+        };
+        if let Some(leading) = &mut self.leading {
+            leading.notes.slots[slot as usize] = Slot::Free(version);
+        }
+    }
+
+    /// Writes pages for what the oldest entries name, once the log is long, and forgets those
+    /// entries.
+    pub(super) fn page(&mut self) {
+        let ops = self.config.settings.state.txn_ops as usize;
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let leader = leading.condition();
+        let notes = &mut leading.notes;
+        let Some(books) = &mut leading.books else {
+            return;
+        };
+        let pressed = notes.live.len() > LONG * 3 / 2;
+        let due = notes.paged_at + PAGE_EVERY <= self.now || pressed;
+        if notes.paging.is_some() || !notes.long() || !due {
+            return;
+        }
+        notes.paged_at = self.now;
+        let held = held(books);
+        while let Some(entry) = notes.live.front()
+            && notes.long()
+            && !entry
+                .names
+                .iter()
+                .any(|each| uncovered(books, &held, each, entry.seq))
+        {
+            notes.first = entry.seq + 1;
+            notes.live_bytes -= entry.bytes;
+            notes.slots[entry.slot as usize] = Slot::Free(entry.version);
+            notes.live.pop_front();
+        }
+        if !notes.long() {
+            return;
+        }
+        let mut txn = Txn {
+            conditions: vec![leader],
+            writes: Vec::new(),
+        };
+        let mut paging = Paging {
+            pages: Vec::new(),
+            covers: notes.next_seq - 1,
+        };
+        let mut bytes = 512;
+        let mut seen = BTreeSet::new();
+        let names = notes.live.iter().flat_map(|entry| {
+            let each = entry.names.iter().map(|name| (entry.seq, *name));
+            each.collect::<Vec<_>>()
+        });
+        for (seq, name) in names {
+            if txn.writes.len() >= (ops / 2).max(1) {
+                break;
+            }
+            let (job, id, chunk) = name;
+            if !uncovered(books, &held, &name, seq) || !seen.insert((job, chunk)) {
+                continue;
+            }
+            let stands = books.job(job).chunks[chunk as usize];
+            if stands.in_flight {
+                continue;
+            }
+            let value = store::to_value(&store::chunk_record(books, job, chunk));
+            bytes += value.to_string().len() + 256;
+            if bytes > TXN_BYTES && !txn.writes.is_empty() {
+                break;
+            }
+            let key = store::chunk_key(id, chunk);
+            txn.conditions.push(Condition {
+                key: key.clone(),
+                version: stands.version,
+            });
+            txn.writes.push(Write::Put {
+                key,
+                value,
+                lease: None,
+            });
+            books.jobs[job.at()].chunks[chunk as usize].in_flight = true;
+            paging.pages.push(name);
+        }
+        if txn.writes.is_empty() {
+            return;
+        }
+        notes.paging = Some(paging);
+        let lease = leading.lease;
+        self.state(
+            StateTag::Page { lease },
+            StateRequest::Txn(txn),
+            Urgency::Normal,
+            TXN_TIMEOUT,
+        );
+    }
+
+    pub(super) fn paged(&mut self, lease: u64, result: Result<StateReply, StateError>) {
+        if !self.leads(lease) {
+            return;
+        }
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let Some(paging) = leading.notes.paging.take() else {
+            return;
+        };
+        let doubt = match &result {
+            Ok(StateReply::Conflict(failed)) if failed.iter().any(|key| key == store::LEADER) => {
+                tracing::warn!("a write found another leader");
+                return self.step_down();
+            }
+            Ok(StateReply::Conflict(_)) | Err(StateError::NoAnswer) => true,
+            _ => false,
+        };
+        for (job, id, chunk) in paging.pages {
+            if doubt {
+                self.check_chunk(lease, id, chunk);
+                continue;
+            }
+            let Some(books) = self.leading.as_mut().and_then(|l| l.books.as_mut()) else {
+                return;
+            };
+            let stands = &mut books.jobs[job.at()].chunks[chunk as usize];
+            stands.in_flight = false;
+            if let Ok(StateReply::Committed(version)) = result {
+                stands.version = version;
+                stands.paged = paging.covers;
+            }
+        }
+    }
+
+    /// A page's version is in doubt; it is written again once that is known.
+    fn check_chunk(&mut self, lease: u64, job: JobId, chunk: u32) {
+        self.state(
+            StateTag::ChunkCheck { lease, job, chunk },
+            StateRequest::Get {
+                key: store::chunk_key(job, chunk),
+            },
+            Urgency::Normal,
+            TXN_TIMEOUT,
+        );
+    }
+
+    pub(super) fn chunk_checked(
+        &mut self,
+        lease: u64,
+        job: JobId,
+        chunk: u32,
+        result: Result<StateReply, StateError>,
+    ) {
+        if !self.leads(lease) {
+            return;
+        }
+        let version = match result {
+            Ok(StateReply::Row(row)) => row.version,
+            Ok(StateReply::Missing) => 0,
+            _ => return self.check_chunk(lease, job, chunk),
+        };
+        let Some(books) = self.leading.as_mut().and_then(|l| l.books.as_mut()) else {
+            return;
+        };
+        if let Some(&index) = books.job_index.get(&job) {
+            let stands = &mut books.jobs[index.at()].chunks[chunk as usize];
+            stands.version = version;
+            stands.in_flight = false;
+        }
+    }
+
+    /// Removes the notes on jobs that are over and of which nothing can be running.
+    pub(super) fn sweep(&mut self) {
+        let ops = self.config.settings.state.txn_ops as usize;
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let leader = leading.condition();
+        let notes = &mut leading.notes;
+        let Some(books) = &mut leading.books else {
+            return;
+        };
+        if notes.swept_at + SWEEP > self.now || !notes.sweeping.is_empty() {
+            return;
+        }
+        notes.swept_at = self.now;
+        let held = held(books);
+        let over: Vec<JobIx> = books
+            .job_index
+            .values()
+            .copied()
+            .filter(|job| {
+                let entry = books.job(*job);
+                entry.closed && !held.contains(job) && entry.chunks.iter().all(|c| !c.in_flight)
+            })
+            .collect();
+        let mut txn = Txn {
+            conditions: vec![leader],
+            writes: Vec::new(),
+        };
+        let mut jobs = Vec::new();
+        for index in over {
+            let entry = books.job(index);
+            let keys: Vec<(String, u64)> = entry
+                .chunks
+                .iter()
+                .enumerate()
+                .filter(|(_, chunk)| chunk.version > 0)
+                .map(|(number, chunk)| (store::chunk_key(entry.id, number as u32), chunk.version))
+                .collect();
+            if keys.is_empty() {
+                books.free_job(index);
+                continue;
+            }
+            let room = ops - txn.writes.len();
+            if room == 0 {
+                break;
+            }
+            jobs.push(entry.id);
+            for (key, version) in keys.into_iter().take(room) {
+                txn.conditions.push(Condition {
+                    key: key.clone(),
+                    version,
+                });
+                txn.writes.push(Write::Delete { key });
+            }
+        }
+        if txn.writes.is_empty() {
+            return;
+        }
+        notes.sweeping = jobs.clone();
+        let lease = leading.lease;
+        self.state(
+            StateTag::Sweep { lease, jobs },
+            StateRequest::Txn(txn),
+            Urgency::Normal,
+            TXN_TIMEOUT,
+        );
+    }
+
+    pub(super) fn swept(
+        &mut self,
+        lease: u64,
+        jobs: &[JobId],
+        result: Result<StateReply, StateError>,
+    ) {
+        if !self.leads(lease) {
+            return;
+        }
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        leading.notes.sweeping.clear();
+        let Some(books) = &mut leading.books else {
+            return;
+        };
+        match result {
+            Ok(StateReply::Committed(_)) => {
+                let ops = self.config.settings.state.txn_ops as usize;
+                let mut left = ops;
+                for id in jobs {
+                    if let Some(&index) = books.job_index.get(id) {
+                        for chunk in &mut books.jobs[index.at()].chunks {
+                            if chunk.version > 0 && left > 0 {
+                                chunk.version = 0;
+                                left -= 1;
+                            }
+                        }
+                    }
+                }
+            }
+            Ok(StateReply::Conflict(failed)) if failed.iter().any(|key| key == store::LEADER) => {
+                self.step_down()
+            }
+            Ok(StateReply::Conflict(_)) | Err(StateError::NoAnswer) => {
+                // Deleted after all, or a late write of our own came in between.
+                let doubtful: Vec<(JobId, u32)> = jobs
+                    .iter()
+                    .filter_map(|id| Some((*id, *books.job_index.get(id)?)))
+                    .flat_map(|(id, index)| {
+                        (0..books.job(index).chunks.len() as u32).map(move |n| (id, n))
+                    })
+                    .collect();
+                for (id, number) in doubtful {
+                    if let Some(books) = self.leading.as_mut().and_then(|l| l.books.as_mut())
+                        && let Some(&index) = books.job_index.get(&id)
+                        && books.job(index).chunks[number as usize].version > 0
+                    {
+                        books.jobs[index.at()].chunks[number as usize].in_flight = true;
+                        self.check_chunk(lease, id, number);
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/takeover.rs
@@ -0,0 +1,384 @@
+//! Taking over: the books rebuilt from the jobs and from the predecessors' notes.
+
+use std::collections::HashMap;
+
+use super::{Leading, Node, StateTag, notes::Notes};
+use crate::{
+    bookkeeping::{
+        Millis,
+        books::{Attempt, Books, JobIx, MachineState, Phase, TypeIx},
+        store::{self, ChunkRecord, JobNote, LogRecord, MachineNote, Note, TaskNote},
+    },
+    protocol::{
+        ids::JobId,
+        job::{Kind, Priority, Submission},
+        state::{Row, StateError, StateReply, StateRequest, Urgency},
+    },
+};
+
+const PAGE: u32 = 200;
+
+/// What has been read of the predecessors' notes.
+#[derive(Default)]
+pub struct Found {
+    /// Job, chunk, version, record.
+    pages: Vec<(JobId, u32, u64, ChunkRecord)>,
+    /// Slot, version, record.
+    entries: Vec<(u32, u64, LogRecord)>,
+    last_key: Option<String>,
+}
+
+impl Found {
+    fn add(&mut self, row: Row) {
+        if let Some((id, chunk)) = store::parse_chunk_key(&row.key) {
+            match serde_json::from_value(row.value) {
+                Ok(record) => self.pages.push((id, chunk, row.version, record)),
+                Err(error) => tracing::error!(key = row.key, %error, "a page can't be read"),
+            }
+        } else if let Some(slot) = store::parse_slot_key(&row.key) {
+            // The version of a slot counts even if what it holds means nothing.
+            let record = serde_json::from_value(row.value).unwrap_or_else(|error| {
+                tracing::error!(key = row.key, %error, "an entry can't be read");
+                LogRecord {
+                    seq: 0,
+                    first: 0,
+                    machines: Vec::new(),
+                    jobs: Vec::new(),
+                }
+            });
+            self.entries.push((slot, row.version, record));
+        }
+        self.last_key = Some(row.key);
+    }
+}
+
+/// The latest that notes say of a task: its attempt, and where that may be.
+struct Latest<'a> {
+    attempt: u32,
+    rank: u8,
+    on: Option<&'a MachineNote>,
+}
+
+/// What notes say of a job.
+struct Noted<'a> {
+    job: &'a JobNote,
+    tasks: HashMap<u32, Latest<'a>>,
+}
+
+impl<'a> Noted<'a> {
+    fn merge(&mut self, tasks: &[TaskNote], machines: &'a [MachineNote]) {
+        for &TaskNote(index, attempt, note) in tasks {
+            let on = match note {
+                Note::On(at) => match machines.get(at as usize) {
+                    Some(machine) => Some(machine),
+                    None => continue,
+                },
+                _ => None,
+            };
+            let latest = Latest {
+                attempt,
+                rank: note.rank(),
+                on,
+            };
+            match self.tasks.get_mut(&index) {
+                Some(known) if (known.attempt, known.rank) >= (attempt, latest.rank) => {}
+                Some(known) => *known = latest,
+                None => {
+                    self.tasks.insert(index, latest);
+                }
+            }
+        }
+    }
+}
+
+/// Puts pages and those entries that count together, job by job.
+fn merged(found: &Found) -> HashMap<JobId, Noted<'_>> {
+    let first = found.entries.iter().map(|(.., record)| record.first).max();
+    let mut jobs: HashMap<JobId, Noted> = HashMap::new();
+    for (id, _, _, record) in &found.pages {
+        let noted = jobs.entry(*id).or_insert_with(|| Noted {
+            job: &record.job,
+            tasks: HashMap::new(),
+        });
+        noted.merge(&record.tasks, &record.machines);
+    }
+    for (.., record) in &found.entries {
+        if first.is_some_and(|first| record.seq < first) {
+            continue;
+        }
+        for (id, job, tasks) in &record.jobs {
+            let noted = jobs.entry(*id).or_insert_with(|| Noted {
+                job,
+                tasks: HashMap::new(),
+            });
+            noted.merge(tasks, &record.machines);
+        }
+    }
+    jobs
+}
+
+impl Node {
+    pub(super) fn read_books(&mut self) {
+        let Some(leading) = &self.leading else { return };
+        let lease = leading.lease;
+        let after = leading.found.last_key.clone();
+        self.state(
+            StateTag::Books { lease },
+            StateRequest::List {
+                prefix: store::BOOKS,
+                after,
+                limit: PAGE,
+            },
+            Urgency::Vital,
+            3000,
+        );
+    }
+
+    pub(super) fn books_read(&mut self, lease: u64, result: Result<StateReply, StateError>) {
+        if !self.leads(lease) {
+            return;
+        }
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        if let Ok(StateReply::Page(page)) = result {
+            for row in page.rows {
+                leading.found.add(row);
+            }
+            if !page.more {
+                return self.make_books();
+            }
+        }
+        self.read_books();
+    }
+
+    /// Rebuilds the books. Whatever predecessors placed and did not see through may be running.
+    fn make_books(&mut self) {
+        let Some(mut leading) = self.leading.take() else {
+            return;
+        };
+        let mut books = Books::new(&self.config.settings, &self.types);
+        let mut live: Vec<_> = self.directory.live().collect();
+        live.sort_by_key(|(id, job)| (job.at_ms, *id));
+        for (_, job) in live {
+            books.add_job(&job.spec, job.at_ms, self.now);
+        }
+        let found = std::mem::take(&mut leading.found);
+        let mut closing = Vec::new();
+        let mut jobs: Vec<_> = merged(&found).into_iter().collect();
+        jobs.sort_by_key(|(id, _)| *id);
+        let paged: std::collections::HashSet<JobId> =
+            found.pages.iter().map(|(id, ..)| *id).collect();
+        for (id, noted) in jobs {
+            let job = match books.job_index.get(&id) {
+                Some(&known) => known,
+                None => {
+                    // Of a job that is over only what may still be running counts, and its pages,
+                    // which are to be removed.
+                    let active = noted.tasks.values().any(|latest| latest.on.is_some());
+                    if !active && !paged.contains(&id) {
+                        continue;
+                    }
+                    let Some(job) = over(&mut books, id, noted.job, self.now) else {
+                        continue;
+                    };
+                    closing.push(job);
+                    job
+                }
+            };
+            enter(&mut books, job, noted, &leading);
+        }
+        for (id, chunk, version, _) in &found.pages {
+            if let Some(&job) = books.job_index.get(id)
+                && let Some(stands) = books.jobs[job.at()].chunks.get_mut(*chunk as usize)
+            {
+                stands.version = *version;
+            }
+        }
+        leading.notes = Notes::inherit(&found.entries, &books);
+        for job in closing {
+            books.close_job(job);
+        }
+        // All of this comes from the store.
+        books.unlogged.clear();
+        let active = books
+            .machines
+            .iter()
+            .map(|m| m.attempts.len())
+            .sum::<usize>();
+        tracing::info!(
+            term = leading.term,
+            jobs = books.job_index.len(),
+            machines = books.machines.len(),
+            entries = found.entries.len(),
+            pages = found.pages.len(),
+            active,
+            "books rebuilt"
+        );
+        // Whoever was not a deputy any more at the takeover renewed nothing since; those who are
+        // will be asked. A report answered while the books were made counts until now.
+        let until = self.now + self.worker_lease();
+        for machine in &mut books.machines {
+            machine.lease_until = until;
+        }
+        leading.books = Some(books);
+        self.leading = Some(leading);
+        self.list_machines();
+    }
+}
+
+/// Enters a job that is over, known only by its notes: what is left of it has to be stopped, and
+/// counts until then.
+fn over(books: &mut Books, id: JobId, noted: &JobNote, now: Millis) -> Option<JobIx> {
+    let spec = Submission {
+        id,
+        class: String::new(),
+        team: noted.team.clone(),
+        kind: Kind::Array,
+        priority: Priority::Low,
+        tasks: noted.of,
+        cpus: noted.cpus,
+        gpus: noted.gpus,
+        ram_gb: noted.ram_gb,
+        image: String::new(),
+        image_gb: 0.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        estimate_s: 0.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    };
+    books.add_job(&spec, 0, now)
+}
+
+/// Enters what predecessors noted of a job's tasks.
+fn enter(books: &mut Books, job: JobIx, noted: Noted, leading: &Leading) {
+    let mut tasks: Vec<_> = noted.tasks.into_iter().collect();
+    tasks.sort_by_key(|(index, _)| *index);
+    for (index, latest) in tasks {
+        if index as usize >= books.job(job).tasks.len() {
+            continue;
+        }
+        books.jobs[job.at()].tasks[index as usize].attempt = latest.attempt;
+        let Some(note) = latest.on else {
+            if latest.rank == Note::Done.rank() {
+                books.complete_task(job, index);
+            }
+            continue;
+        };
+        let kind = TypeIx(books.type_names.get(&note.kind).unwrap_or(0));
+        let zone = books.zone(&note.zone);
+        let machine = books.add_machine(&note.name, kind, zone, note.spot, leading.takeover_at);
+        books.machines[machine.at()].addr = note.addr.clone();
+        books.machines[machine.at()].state = MachineState::Up;
+        books.book(
+            Attempt {
+                job,
+                task: index,
+                attempt: latest.attempt,
+                phase: Phase::Placed,
+                cause: None,
+                placed_at: leading.takeover_at,
+                running_since: None,
+                sent: true,
+                inherited: true,
+                outstanding: false,
+                answered_at: None,
+                fence: leading.first_term,
+                stop: None,
+                stop_sent: false,
+                settled: false,
+            },
+            machine,
+        );
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn entry(seq: u64, first: u64, notes: &[TaskNote]) -> (u32, u64, LogRecord) {
+        let job = JobNote {
+            team: "red".into(),
+            of: 4,
+            cpus: 1.0,
+            gpus: 0.0,
+            ram_gb: 1.0,
+        };
+        let machine = |name: &str| MachineNote {
+            name: name.into(),
+            kind: "c16".into(),
+            zone: "a".into(),
+            spot: false,
+            addr: None,
+        };
+        let record = LogRecord {
+            seq,
+            first,
+            machines: vec![machine("vm-1"), machine("vm-2")],
+            jobs: vec![(JobId(1), job, notes.to_vec())],
+        };
+        (seq as u32, seq, record)
+    }
+
+    fn says(entries: Vec<(u32, u64, LogRecord)>) -> Vec<(u32, u32, u8, Option<String>)> {
+        let found = Found {
+            entries,
+            ..Found::default()
+        };
+        let mut says: Vec<_> = merged(&found)
+            .into_values()
+            .flat_map(|noted| noted.tasks)
+            .map(|(task, latest)| {
+                let on = latest.on.map(|machine| machine.name.clone());
+                (task, latest.attempt, latest.rank, on)
+            })
+            .collect();
+        says.sort();
+        says
+    }
+
+    /// A write that got no answer may be applied after those that repeat it: an older note must not
+    /// hide a newer one, in whatever order the slots are read.
+    #[test]
+    fn notes_say_the_same_in_any_order() {
+        let entries = [
+            entry(
+                3,
+                2,
+                &[TaskNote(0, 1, Note::On(0)), TaskNote(1, 1, Note::On(0))],
+            ),
+            entry(
+                4,
+                2,
+                &[TaskNote(0, 2, Note::On(1)), TaskNote(1, 1, Note::Done)],
+            ),
+            entry(5, 3, &[TaskNote(2, 1, Note::On(1))]),
+            entry(
+                6,
+                3,
+                &[TaskNote(2, 1, Note::Waiting), TaskNote(0, 2, Note::On(1))],
+            ),
+            // Before what the others call the first: pages hold it.
+            entry(2, 1, &[TaskNote(3, 9, Note::On(0))]),
+        ];
+        let expected = vec![
+            (0, 2, 0, Some("vm-2".to_owned())),
+            (1, 1, 2, None),
+            (2, 1, 1, None),
+        ];
+        for start in 0..entries.len() {
+            let mut order = entries.to_vec();
+            order.rotate_left(start);
+            assert_eq!(says(order.clone()), expected);
+            order.reverse();
+            order.extend_from_within(..2);
+            assert_eq!(says(order), expected);
+        }
+    }
+}
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -276,6 +276,36 @@
     }
 }
 
+/// A fleet's worth of changes is cut into entries that each fit a value, however small that is.
+#[test]
+fn log_entries_fit_a_value_and_name_each_change_once() {
+    let mut books = books((0.0, 0.0), (0.0, 0.0), 600);
+    for number in 0..300 {
+        let team = ["red", "blue"][number as usize % 2];
+        books.add_job(&job(number, team, 7, 4.0), 0, 0);
+    }
+    while scheduler::round(&mut books, 0) > 0 {}
+    let changed: Vec<_> = books.unlogged.iter().copied().collect();
+    assert_eq!(changed.len(), 2100, "each placement is a change");
+    for bytes in [600, 4096, 16 * 1024] {
+        let mut tasks = changed.iter().copied().peekable();
+        let mut named = 0;
+        while tasks.peek().is_some() {
+            let record = store::log_record(&books, &mut tasks, (1, 1), bytes);
+            named += record
+                .jobs
+                .iter()
+                .map(|(.., notes)| notes.len())
+                .sum::<usize>();
+            let value = store::to_value(&record);
+            assert!(value.to_string().len() <= bytes);
+            let read: store::LogRecord = serde_json::from_value(value).unwrap();
+            assert_eq!(read, record);
+        }
+        assert_eq!(named, changed.len());
+    }
+}
+
 #[test]
 fn a_gang_is_placed_whole_or_not_at_all() {
     let mut books = books((0.0, 0.0), (0.0, 0.0), 4);
