--- a/src/bookkeeping/autoscaler.rs
+++ b/src/bookkeeping/autoscaler.rs
@@ -191,7 +191,8 @@
                 count: count.min(MAX_RENT),
             })
             .collect();
-        rentals.sort_by_key(|rental| rental.offer);
+        // The largest first: few can be asked for at a time.
+        rentals.sort_by_key(|rental| (std::cmp::Reverse(rental.count), rental.offer));
         let returns = if rentals.is_empty() {
             self.returns(books, &spare, now)
         } else {
--- a/src/coordination/renting.rs
+++ b/src/coordination/renting.rs
@@ -14,7 +14,12 @@
 };
 
 const TIMEOUT: Millis = 5000;
+/// The list is asked for this often while some machine is silent, else as often as it is new.
 const LIST_EVERY: Millis = 3000;
+/// Rental requests under way: the cloud takes few calls a second, and an answer changes the plan.
+/// Requests that queue up would be refused for what an earlier answer has told already.
+const RENTALS: usize = 2;
+const DELETE_EVERY: Millis = 2000;
 const PLAN_EVERY: Millis = 1000;
 const TYPES_EVERY: Millis = 30_000;
 const TYPES_RETRY: Millis = 1000;
@@ -37,6 +42,7 @@
     listed_at: Millis,
     listed: Vec<ListedMachine>,
     deleting: bool,
+    deleted_at: Millis,
 }
 
 impl Node {
@@ -183,6 +189,7 @@
         let now = self.now;
         let wall = self.wall;
         let may_act = self.may_start();
+        let list_lag = millis(self.config.settings.cloud.list_lag_s);
         self.store_types();
         let Some(leading) = &mut self.leading else {
             return;
@@ -192,10 +199,16 @@
         let Some(books) = &mut leading.books else {
             return;
         };
-        let list = !renting.listing && renting.listed_at + LIST_EVERY <= now;
+        let silent = books.machines.iter().any(|machine| machine.silent);
+        let list_every = if silent {
+            LIST_EVERY
+        } else {
+            list_lag.max(LIST_EVERY)
+        };
+        let list = !renting.listing && renting.listed_at + list_every <= now;
         let mut requests = Vec::new();
         if may_act && renting.trouble_until <= now {
-            if renting.planned_at + PLAN_EVERY <= now {
+            if renting.planned_at + PLAN_EVERY <= now && renting.rentals.len() < RENTALS {
                 renting.planned_at = now;
                 let under_way: Vec<Rental> =
                     renting.rentals.iter().map(|(_, r)| r.clone()).collect();
@@ -204,6 +217,10 @@
                     books.machines[index.at()].state = MachineState::Deleting;
                 }
                 for rental in rentals {
+                    let asked = renting.rentals.iter().any(|(_, r)| r.offer == rental.offer);
+                    if asked || renting.rentals.len() >= RENTALS {
+                        continue;
+                    }
                     renting.counter += 1;
                     // Never used again: terms are not, and the counter counts within one.
                     let name = format!("r-{term}-{}", renting.counter);
@@ -226,10 +243,11 @@
                     renting.rentals.push((name, rental));
                 }
             }
-            if !renting.deleting {
+            if !renting.deleting && renting.deleted_at + DELETE_EVERY <= now {
                 let names = dead(books, now);
                 if !names.is_empty() {
                     renting.deleting = true;
+                    renting.deleted_at = now;
                     tracing::info!(?names, "deleting machines");
                     requests.push((
                         CloudTag::Delete {
@@ -264,6 +282,7 @@
         };
         let rental = renting.rentals[at].1.clone();
         let offer = rental.offer;
+        renting.planned_at = 0;
         match result {
             Ok(CloudReply::Rented(names)) => {
                 renting.rentals.swap_remove(at);
@@ -279,7 +298,6 @@
                 tracing::debug!(name, ?offer, "no capacity");
                 renting.rentals.swap_remove(at);
                 renting.autoscaler.refuse(offer, now);
-                renting.planned_at = 0;
             }
             // It may have been carried out: the same name tells, and rents nothing twice.
             Err(CloudError::NoAnswer) => {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -33,6 +33,11 @@
 const BATCH: usize = 256;
 /// What is kept free of the services' limits, for clocks that differ.
 const HEADROOM: f64 = 0.92;
+/// The leader's shares. Followers write for users only, and ask the cloud for nothing but its
+/// machine types when they start.
+const STATE_SHARE: f64 = 0.5;
+const WRITE_SHARE: f64 = 0.6;
+const CLOUD_SHARE: f64 = 0.8;
 
 #[derive(Debug, thiserror::Error)]
 pub enum DaemonError {
@@ -162,15 +167,16 @@
 }
 
 impl Limits {
-    /// A node's part of a service's limit: the leader has half of it, the others share the rest.
-    fn part(&self, whole: f64, leading: bool) -> f64 {
+    /// A node's part of a service's limit, where the leader has `share` of it and the others have
+    /// equal parts of the rest.
+    fn part(&self, whole: f64, share: f64, leading: bool) -> f64 {
         let others = (self.nodes - 1.0).max(1.0);
         HEADROOM
             * whole
             * if leading || self.nodes <= 1.0 {
-                0.5
+                share
             } else {
-                0.5 / others
+                (1.0 - share) / others
             }
     }
 }
@@ -196,9 +202,9 @@
             workers: WorkerClient::new(),
             members: mesh::Members::new(addrs.values().copied()),
             addrs,
-            requests: Bucket::new(limits.part(limits.rps, false)),
-            writes: Bucket::new(limits.part(limits.write_rps, false)),
-            cloud_requests: Bucket::new(limits.part(limits.cloud_rps, false)),
+            requests: Bucket::new(limits.part(limits.rps, STATE_SHARE, false)),
+            writes: Bucket::new(limits.part(limits.write_rps, WRITE_SHARE, false)),
+            cloud_requests: Bucket::new(limits.part(limits.cloud_rps, CLOUD_SHARE, false)),
             limits,
         }
     }
@@ -273,10 +279,12 @@
             }
             Effect::Leading(leading) => {
                 let limits = &self.limits;
-                self.requests.set_rate(limits.part(limits.rps, leading));
-                self.writes.set_rate(limits.part(limits.write_rps, leading));
+                self.requests
+                    .set_rate(limits.part(limits.rps, STATE_SHARE, leading));
+                self.writes
+                    .set_rate(limits.part(limits.write_rps, WRITE_SHARE, leading));
                 self.cloud_requests
-                    .set_rate(limits.part(limits.cloud_rps, leading));
+                    .set_rate(limits.part(limits.cloud_rps, CLOUD_SHARE, leading));
             }
             Effect::Answer(..) | Effect::Revoked(..) => {}
         }
