A job that missed an aim goes for its next one and lets go first who can still meet theirs

A job's place is now the time by which its tasks must be placed for the next aim that they can still meet (deadlines at all multiples, starts, finishes); past all of them it waits 300 s behind the others.

--- a/src/bookkeeping/autoscaler.rs
+++ b/src/bookkeeping/autoscaler.rs
@@ -205,15 +205,9 @@
     /// what is aimed at for its class.
     fn can_wait_s(&self, books: &Books, job: &Job, wall_ms: u64) -> f64 {
         let waited = wall_ms.saturating_sub(job.submitted_ms) as f64 / 1000.0;
-        let run_s = job.estimate_s * 1.3;
         let aims = &books.aims[job.class.at()];
-        let due = [
-            job.deadline_s.map(|due| due - run_s),
-            aims.start_s,
-            aims.finish_s.map(|within| within - run_s),
-        ];
-        let due = due.into_iter().flatten().fold(f64::INFINITY, f64::min);
-        let due = if due.is_finite() { due } else { NO_AIM_S };
+        let waits = aims.waits(job.estimate_s, job.deadline_s);
+        let due = waits.first().copied().unwrap_or(NO_AIM_S);
         (due - waited).max(0.0)
     }
 
--- a/src/bookkeeping/books.rs
+++ b/src/bookkeeping/books.rs
@@ -52,8 +52,16 @@
     }
 }
 
-/// How long a job without a deadline is taken to be able to wait, next to those that have one.
-const NO_DEADLINE: Millis = 60_000;
+/// How long a job that nothing is aimed at for is taken to be able to wait, next to those with aims.
+const NO_AIM: Millis = 60_000;
+/// A job that can meet no aim any more lets those go first that can, for this long.
+const HOPELESS: Millis = 300_000;
+/// The part of the wait for a later aim after which a job's turn comes.
+const LATER: f64 = 0.7;
+/// A task placed this short before it should run will be late.
+const START: Millis = 500;
+/// Estimates are often too low.
+pub const ESTIMATE_MARGIN: f64 = 1.3;
 
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Amounts {
@@ -138,9 +146,13 @@
     pub priority: Priority,
     /// When it was submitted, by the accepting node's time of day.
     pub submitted_ms: u64,
-    /// Its place among its team's jobs of the same priority: its age, where a deadline counts as
-    /// that much age as its tasks can't wait.
+    /// Its place among its team's jobs of the same priority: the time of day by which its tasks
+    /// have to be placed for the next aim that they can still meet.
     pub turn_ms: u64,
+    /// When that has passed: the place is another one from then on.
+    pub turn_until: u64,
+    /// Milliseconds from its submission by which a task has to be placed for each of the aims.
+    pub latest: Vec<Millis>,
     /// When this node first heard of it.
     pub seen_at: Millis,
     pub need: Amounts,
@@ -179,6 +191,22 @@
         }
     }
 
+    /// Its place from `wall_ms` on.
+    fn take_turn(&mut self, wall_ms: u64) {
+        let waited = wall_ms.saturating_sub(self.submitted_ms);
+        let next = self.latest.iter().find(|latest| **latest > waited);
+        let within = match (next, self.latest.last()) {
+            (Some(&next), _) => next,
+            (None, Some(&last)) => last + HOPELESS,
+            (None, None) => NO_AIM,
+        };
+        self.turn_ms = self.submitted_ms + within;
+        self.turn_until = match next {
+            Some(_) => self.turn_ms,
+            None => u64::MAX,
+        };
+    }
+
     pub fn complete(&self) -> bool {
         self.kind != Kind::Service && self.done as usize == self.tasks.len()
     }
@@ -324,10 +352,40 @@
 }
 
 /// What is aimed at for the jobs of a class, in seconds from their submission.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Aims {
-    pub start_s: Option<f64>,
-    pub finish_s: Option<f64>,
+    pub start_s: Vec<f64>,
+    pub finish_s: Vec<f64>,
+    /// Multiples of a job's own deadline.
+    pub deadlines: Vec<f64>,
+}
+
+impl Aims {
+    /// The tightest aim for starting.
+    pub fn start(&self) -> Option<f64> {
+        self.start_s.iter().copied().reduce(f64::min)
+    }
+
+    /// How long the tasks of a job can wait from its submission for each of the aims, the
+    /// tightest first; what can't be met even at once is left out.
+    pub fn waits(&self, estimate_s: f64, deadline_s: Option<f64>) -> Vec<f64> {
+        let run_s = estimate_s * ESTIMATE_MARGIN;
+        let one = [1.0];
+        let times = if self.deadlines.is_empty() {
+            &one[..]
+        } else {
+            &self.deadlines
+        };
+        let deadlines = deadline_s
+            .into_iter()
+            .flat_map(|due| times.iter().map(move |times| due * times - run_s));
+        let finishes = self.finish_s.iter().map(|within| within - run_s);
+        let starts = self.start_s.iter().copied();
+        let mut waits: Vec<f64> = starts.chain(finishes).chain(deadlines).collect();
+        waits.retain(|wait| *wait > 0.0);
+        waits.sort_by(f64::total_cmp);
+        waits
+    }
 }
 
 pub struct Books {
@@ -353,6 +411,8 @@
     pub logging: BTreeSet<(JobIx, u32)>,
     /// Jobs whose last task is done, to be recorded as done.
     pub complete: BTreeSet<JobIx>,
+    /// The time of day less the steady time, in milliseconds.
+    wall_base: i64,
     /// Set whenever a scheduling round could find something new to do.
     pub changed: bool,
 }
@@ -401,6 +461,7 @@
             unlogged: BTreeSet::new(),
             logging: BTreeSet::new(),
             complete: BTreeSet::new(),
+            wall_base: 0,
             changed: true,
         };
         for zone in &settings.zones {
@@ -422,15 +483,15 @@
     }
 
     fn aim(&mut self, objective: &Objective) {
-        let (Some(class), Some(within)) = (&objective.class, objective.within_s) else {
+        let Some(class) = &objective.class else {
             return;
         };
         let class = self.class(class);
         let aims = &mut self.aims[class.at()];
-        let tightest = |known: Option<f64>| Some(known.map_or(within, |known| known.min(within)));
-        match objective.kind.as_str() {
-            "wait" => aims.start_s = tightest(aims.start_s),
-            "finished" => aims.finish_s = tightest(aims.finish_s),
+        match (objective.kind.as_str(), objective.within_s) {
+            ("wait", Some(within)) => aims.start_s.push(within),
+            ("finished", Some(within)) => aims.finish_s.push(within),
+            ("deadline", _) => aims.deadlines.push(objective.times.unwrap_or(1.0)),
             _ => {}
         }
     }
@@ -482,6 +543,34 @@
         &self.machines[index.at()]
     }
 
+    pub fn set_time_of_day(&mut self, now: Millis, wall_ms: u64) {
+        self.wall_base = wall_ms as i64 - now as i64;
+    }
+
+    pub fn wall_ms(&self, now: Millis) -> u64 {
+        (now as i64 + self.wall_base).max(0) as u64
+    }
+
+    /// Jobs that have missed an aim go for the next one: they make way for those that can still
+    /// meet theirs. In their old order everything that waits would come too late.
+    pub fn take_turns(&mut self, now: Millis) {
+        let wall_ms = self.wall_ms(now);
+        for team in &mut self.teams {
+            let passed: Vec<_> = team
+                .queue
+                .iter()
+                .filter(|(.., job)| self.jobs[job.at()].turn_until <= wall_ms)
+                .copied()
+                .collect();
+            for key in passed {
+                team.queue.remove(&key);
+                let job = &mut self.jobs[key.2.at()];
+                job.take_turn(wall_ms);
+                team.queue.insert((job.priority, job.turn_ms, key.2));
+            }
+        }
+    }
+
     /// Enters an unfinished job. `None`: its team is unknown here.
     pub fn add_job(&mut self, spec: &Submission, submitted_ms: u64, now: Millis) -> Option<JobIx> {
         if let Some(&known) = self.job_index.get(&spec.id) {
@@ -497,17 +586,27 @@
         };
         let zone = spec.zone.as_deref().map(|name| self.zone(name));
         let count = spec.tasks;
-        let wait_ms = spec
-            .deadline_s
-            .map_or(NO_DEADLINE, |due| millis((due - spec.estimate_s).max(0.0)));
-        let job = Job {
+        let class = self.class(&spec.class);
+        // Replicas run on and on: what counts for them is their age.
+        let waits = match spec.kind {
+            Kind::Service => Vec::new(),
+            _ => self.aims[class.at()].waits(spec.estimate_s, spec.deadline_s),
+        };
+        // What is late already must not wait for the last moment again: many come to theirs at once.
+        let latest = waits.into_iter().enumerate().map(|(number, wait)| {
+            let part = if number == 0 { 1.0 } else { LATER };
+            millis(wait * part).saturating_sub(START)
+        });
+        let mut job = Job {
             id: spec.id,
             team,
-            class: self.class(&spec.class),
+            class,
             kind: spec.kind,
             priority: spec.priority,
             submitted_ms,
-            turn_ms: submitted_ms + wait_ms,
+            turn_ms: 0,
+            turn_until: 0,
+            latest: latest.collect(),
             seen_at: now,
             need: Amounts {
                 cpus: spec.cpus,
@@ -543,6 +642,7 @@
             errors: 0,
             failed_on: VecDeque::new(),
         };
+        job.take_turn(self.wall_ms(now));
         let key = (job.priority, job.turn_ms);
         let index = match self.free_jobs.pop() {
             Some(index) => {
--- a/src/bookkeeping/scheduler.rs
+++ b/src/bookkeeping/scheduler.rs
@@ -161,7 +161,7 @@
 
 /// Whether a replica that is aimed to start soon would do so there, for all that its image takes.
 fn in_time(books: &Books, job: &Job, machine: MachineIx, now: Millis) -> bool {
-    let Some(within) = books.aims[job.class.at()].start_s else {
+    let Some(within) = books.aims[job.class.at()].start() else {
         return true;
     };
     let waited = now.saturating_sub(job.seen_at) as f64 / 1000.0;
--- a/src/config.rs
+++ b/src/config.rs
@@ -66,6 +66,9 @@
     pub class: Option<String>,
     #[serde(default)]
     pub within_s: Option<f64>,
+    /// Of a deadline: how many times the job's own.
+    #[serde(default)]
+    pub times: Option<f64>,
     #[serde(default)]
     pub share: Option<f64>,
 }
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -35,6 +35,7 @@
 const CAMPAIGN_RETRY: Millis = 300;
 const FENCE_EVERY: Millis = 3000;
 const TELL: Millis = 1000;
+const TURNS: Millis = 250;
 const PREEMPT: Millis = 10_000;
 /// Users wait for services; what gives way to them does so sooner.
 const PREEMPT_FOR_SERVICES: Millis = 200;
@@ -80,6 +81,7 @@
     pub fence_wanted: bool,
     fenced_at: Millis,
     told_at: Millis,
+    turned_at: Millis,
     preempted_at: Millis,
     preempted_for_services_at: Millis,
     types_written: u64,
@@ -323,6 +325,7 @@
             fence_wanted: false,
             fenced_at: 0,
             told_at: 0,
+            turned_at: 0,
             preempted_at: self.now,
             preempted_for_services_at: self.now,
             types_written: 0,
@@ -411,6 +414,11 @@
         let Some(books) = &mut leading.books else {
             return;
         };
+        if leading.turned_at + TURNS <= now {
+            leading.turned_at = now;
+            books.set_time_of_day(now, self.wall);
+            books.take_turns(now);
+        }
         if books.changed || now % 1000 < 60 {
             books.changed = false;
             let placed = scheduler::round(books, now);
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -3,7 +3,7 @@
 use dalelb::{
     bookkeeping::{
         autoscaler::Autoscaler,
-        books::{Amounts, Books, MachineState, Phase, TypeIx},
+        books::{Amounts, Books, MachineState, Phase, TeamIx, TypeIx},
         scheduler, store,
     },
     config::Settings,
@@ -36,7 +36,9 @@
         "zones": ["a", "b"],
         "teams": [{"name": "red", "cpus": red.0, "cpus_max": red.1},
                   {"name": "blue", "cpus": blue.0, "cpus_max": blue.1}],
-        "objectives": [{"kind": "wait", "class": "front", "within_s": 2.0}],
+        "objectives": [{"kind": "wait", "class": "front", "within_s": 2.0},
+                       {"kind": "wait", "class": "batch", "within_s": 8.0},
+                       {"kind": "wait", "class": "batch", "within_s": 60.0}],
         "workers": {"report_s": 2.5, "lease_s": 14.0, "cancel_s": 34.0},
         "state": {"rps": 100.0, "write_rps": 50.0, "value_kb": 16.0, "txn_ops": 24},
         "cloud": {"rps": 3.0, "list_lag_s": 6.0}
@@ -229,6 +231,36 @@
     assert_eq!(stopped, 1, "one array task gives way, no more");
 }
 
+/// Under a backlog, first come first served makes everybody late: a job that has missed an aim makes
+/// way for one that can still meet it, until its own next aim comes near.
+#[test]
+fn a_job_that_missed_an_aim_lets_others_meet_theirs() {
+    let mut books = books((0.0, 0.0), (0.0, 0.0), 0);
+    let team = TeamIx(0);
+    let first = |books: &Books| {
+        let &(_, _, job) = books.teams[team.at()].queue.first().unwrap();
+        books.job(job).id.0
+    };
+    for (number, at) in [(1, 0), (2, 10_000)] {
+        let mut batch = job(number, "red", 4, 4.0);
+        batch.class = "batch".into();
+        books.add_job(&batch, at, at);
+    }
+    for (now, expected) in [
+        (5000, 1),
+        (10_000, 2),
+        (16_000, 2),
+        (18_000, 1),
+        (50_000, 2),
+    ] {
+        books.set_time_of_day(now, now);
+        books.take_turns(now);
+        assert_eq!(first(&books), expected, "after {now} ms");
+    }
+    books.take_turns(120_000);
+    assert_eq!(first(&books), 1, "past all aims, the older first");
+}
+
 #[test]
 fn what_waits_is_rented_for_and_what_is_empty_returned() {
     let mut books = books((0.0, 0.0), (0.0, 0.0), 0);
