A step touches what changed: orders by machine, rounds every 40 ms, equal tasks share a look

Orders now look at the machines that were marked, all of them twice a second; silence is looked for every 0.2 s; a round comes at most every 40 ms and skips what asks for as much as a task that fitted nowhere.

--- a/src/bookkeeping/books.rs
+++ b/src/bookkeeping/books.rs
@@ -409,6 +409,9 @@
     pub unlogged: BTreeSet<(JobIx, u32)>,
     /// Tasks whose changes are being written.
     pub logging: BTreeSet<(JobIx, u32)>,
+    /// Machines that may want orders: what was placed there is stored, something has to stop, or
+    /// they have been heard of.
+    pub attention: BTreeSet<MachineIx>,
     /// Jobs whose last task is done, to be recorded as done.
     pub complete: BTreeSet<JobIx>,
     /// The time of day less the steady time, in milliseconds.
@@ -460,6 +463,7 @@
             chunk_len: super::store::chunk_len(settings.state.value_kb),
             unlogged: BTreeSet::new(),
             logging: BTreeSet::new(),
+            attention: BTreeSet::new(),
             complete: BTreeSet::new(),
             wall_base: 0,
             changed: true,
@@ -887,17 +891,36 @@
         for note in unlogged.collect::<Vec<_>>() {
             self.unlogged.remove(&note);
         }
-        for machine in &mut self.machines {
+        for (number, machine) in self.machines.iter_mut().enumerate() {
             for attempt in &mut machine.attempts {
                 if attempt.job == index && attempt.phase != Phase::Ended {
                     attempt.stop = Some(0.0);
                     attempt.stop_sent = false;
+                    self.attention.insert(MachineIx(number as u32));
                 }
             }
         }
         self.changed = true;
     }
 
+    /// Orders an attempt stopped, giving it `grace_s` to save.
+    pub fn stop(&mut self, on: MachineIx, at: usize, grace_s: f64) {
+        let attempt = &mut self.machines[on.at()].attempts[at];
+        attempt.stop = Some(grace_s);
+        attempt.stop_sent = false;
+        self.attention.insert(on);
+    }
+
+    /// The store holds what is known of these tasks: their starts and reaps may go out.
+    pub fn attend(&mut self, tasks: &BTreeSet<(JobIx, u32)>) {
+        for &(job, task) in tasks {
+            let task = self.jobs[job.at()].tasks.get(task as usize);
+            if let Some(TaskStatus::Active(on)) = task.map(|task| task.status) {
+                self.attention.insert(on);
+            }
+        }
+    }
+
     /// Whether the store holds what is known of the task: where it was placed, or that it is done.
     pub fn stored(&self, job: JobIx, task: u32) -> bool {
         !self.unlogged.contains(&(job, task)) && !self.logging.contains(&(job, task))
--- a/src/bookkeeping/scheduler.rs
+++ b/src/bookkeeping/scheduler.rs
@@ -48,6 +48,39 @@
         .sum()
 }
 
+/// What a task asked for that no machine had: nobody who asks for as much or more needs to look
+/// again this round, for a round only takes room. Thousands of equal tasks share one look.
+struct Wish {
+    need: Amounts,
+    types: u64,
+    spot: bool,
+}
+
+impl Wish {
+    /// `None` where it was not for want of room alone.
+    fn of(job: &Job, books: &Books, now: Millis) -> Option<Self> {
+        let anywhere = job.kind == Kind::Array
+            && job.zone.is_none()
+            && !job.one_zone
+            && !job.spread
+            && job.failed_on.is_empty()
+            && job.not_before <= now
+            && books.teams[job.team.at()].allows(&job.need);
+        anywhere.then_some(Wish {
+            need: job.need,
+            types: job.types,
+            spot: job.spot,
+        })
+    }
+
+    fn covers(&self, job: &Job) -> bool {
+        job.kind == Kind::Array
+            && self.need.fits_in(&job.need)
+            && job.types & !self.types == 0
+            && (self.spot || !job.spot)
+    }
+}
+
 /// One allocation round: pops the team with the fewest booked units, places its first task,
 /// reshuffles. A job that fits nowhere, or whose team is at its limit, sits this round out; a team
 /// without another job leaves the heap. Returns how many tasks were placed.
@@ -59,6 +92,7 @@
         .map(|team| Reverse(turn(books, team, &deserved)))
         .collect();
     let mut stuck: HashSet<JobIx> = HashSet::new();
+    let mut full: Vec<Wish> = Vec::new();
     let mut placed = 0;
     while let Some(Reverse((_, _, team))) = heap.pop() {
         let next = books.teams[team.at()]
@@ -85,6 +119,11 @@
             continue;
         }
         let entry = books.job(job);
+        if full.iter().any(|wish| wish.covers(entry)) {
+            stuck.insert(job);
+            heap.push(Reverse(turn(books, team, &deserved)));
+            continue;
+        }
         let task = entry.waiting.first().copied();
         let target = task.filter(|_| entry.not_before <= now).and_then(|task| {
             books.teams[team.at()]
@@ -102,14 +141,13 @@
         match target {
             Some((task, machine, victims)) => {
                 for at in victims {
-                    let attempt = &mut books.machines[machine.at()].attempts[at];
-                    attempt.stop = Some(0.0);
-                    attempt.stop_sent = false;
+                    books.stop(machine, at, 0.0);
                 }
                 books.place(job, task, machine, now);
                 placed += 1;
             }
             None => {
+                full.extend(Wish::of(books.job(job), books, now));
                 stuck.insert(job);
             }
         }
@@ -374,6 +412,13 @@
 /// The trial fit. For each team with waiting work that fits nowhere: would it fit if the excess of
 /// over-share teams, or work of lower priority, were stopped? Only then are those tasks named.
 pub fn preempt(books: &Books, now: Millis, only_services: bool) -> Vec<Victim> {
+    let waits = |&(_, _, job): &(Priority, u64, JobIx)| {
+        let job = books.job(job);
+        job.kind != Kind::Gang && (!only_services || job.kind == Kind::Service)
+    };
+    if !books.teams.iter().any(|team| team.queue.iter().any(waits)) {
+        return Vec::new();
+    }
     let deserved = deserved(books, capacity(books));
     let booked: Vec<f64> = books
         .teams
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -32,6 +32,9 @@
 /// How long a machine that refused or failed a task is passed over.
 const AVOID: Millis = 10_000;
 const AVOID_FULL: Millis = 2000;
+/// How often all machines are looked at for orders that are due, and for silence.
+const SWEEP_ORDERS: Millis = 500;
+const WATCH: Millis = 200;
 const MAX_BACKOFF: Millis = 30_000;
 /// Jobs that must have failed on a machine, with none succeeding, before it counts as sick.
 const SICK: usize = 2;
@@ -109,6 +112,7 @@
         machine.addr = Some(report.addr.clone());
         machine.heard_at = Some(now);
         machine.silent = false;
+        books.attention.insert(index);
         if checkin {
             machine.checkins += 1;
         }
@@ -153,6 +157,7 @@
             if tag.orders {
                 books.machines[index.at()].busy = false;
             }
+            books.attention.insert(index);
             for (task, attempt) in &tag.starts {
                 let Some(at) = find(books, index, *task, *attempt) else {
                     continue;
@@ -179,6 +184,7 @@
     /// Sends what can't wait for the next report.
     pub(super) fn send_orders(&mut self) {
         let may_start = self.may_start();
+        let now = self.now;
         let Some(leading) = &mut self.leading else {
             return;
         };
@@ -186,13 +192,20 @@
             books: Some(books),
             term,
             lease,
+            swept_orders_at,
             ..
         } = leading.as_mut()
         else {
             return;
         };
-        for number in 0..books.machines.len() {
-            let index = MachineIx(number as u32);
+        let mut machines = std::mem::take(&mut books.attention);
+        // A new term, or leave to start again, concerns all of them.
+        if *swept_orders_at + SWEEP_ORDERS <= now {
+            *swept_orders_at = now;
+            machines.extend((0..books.machines.len() as u32).map(MachineIx));
+        }
+        for index in machines {
+            let number = index.at();
             let machine = &books.machines[number];
             if machine.state != MachineState::Up || machine.attempts.is_empty() {
                 continue;
@@ -273,6 +286,10 @@
     /// Notices leases that ran out, notices that come due, and starts in doubt.
     pub(super) fn watch_machines(&mut self) {
         let now = self.now;
+        match &mut self.leading {
+            Some(leading) if leading.watched_at + WATCH <= now => leading.watched_at = now,
+            _ => return,
+        }
         let lease_ms = self.worker_lease();
         let silence = millis(self.config.settings.workers.report_s * 1.25 + 2.0);
         // Keys that a sync sent after a lease's end does not show were not there while it lasted.
@@ -652,8 +669,8 @@
         } else {
             (job.estimate_s - ran > left_s).then_some(0.0)
         };
-        if stop.is_some() {
-            books.machines[on.at()].attempts[at].stop = stop;
+        if let Some(grace_s) = stop {
+            books.stop(on, at, grace_s);
         }
     }
 }
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -35,6 +35,7 @@
 const CAMPAIGN_RETRY: Millis = 300;
 const FENCE_EVERY: Millis = 3000;
 const TELL: Millis = 1000;
+const ROUND_EVERY: Millis = 40;
 const TURNS: Millis = 250;
 const PREEMPT: Millis = 10_000;
 /// Users wait for services; what gives way to them does so sooner.
@@ -81,7 +82,10 @@
     pub fence_wanted: bool,
     fenced_at: Millis,
     told_at: Millis,
+    scheduled_at: Millis,
     turned_at: Millis,
+    pub watched_at: Millis,
+    pub swept_orders_at: Millis,
     preempted_at: Millis,
     preempted_for_services_at: Millis,
     types_written: u64,
@@ -325,7 +329,10 @@
             fence_wanted: false,
             fenced_at: 0,
             told_at: 0,
+            scheduled_at: 0,
             turned_at: 0,
+            watched_at: 0,
+            swept_orders_at: 0,
             preempted_at: self.now,
             preempted_for_services_at: self.now,
             types_written: 0,
@@ -419,7 +426,10 @@
             books.set_time_of_day(now, self.wall);
             books.take_turns(now);
         }
-        if books.changed || now % 1000 < 60 {
+        // Reports come by the hundred a second: a round takes what several have changed.
+        let due = if books.changed { ROUND_EVERY } else { 1000 };
+        if leading.scheduled_at + due <= now {
+            leading.scheduled_at = now;
             books.changed = false;
             let placed = scheduler::round(books, now);
             if placed > 0 {
@@ -442,8 +452,7 @@
                     0.0
                 };
                 tracing::info!(task = %job.task_id(attempt.task), reason = ?victim.reason, "gives way");
-                let attempt = &mut books.machines[victim.machine.at()].attempts[victim.at];
-                attempt.stop = Some(grace);
+                books.stop(victim.machine, victim.at, grace);
             }
         }
     }
--- a/src/coordination/notes.rs
+++ b/src/coordination/notes.rs
@@ -325,6 +325,7 @@
         }
         let logged = std::mem::take(&mut books.logging);
         if let Ok(StateReply::Committed(version)) = result {
+            books.attend(&logged);
             for entry in flush.entries {
                 notes.add_live(LiveEntry { version, ..entry });
             }
--- a/src/coordination/renting.rs
+++ b/src/coordination/renting.rs
@@ -199,13 +199,9 @@
         let Some(books) = &mut leading.books else {
             return;
         };
-        let silent = books.machines.iter().any(|machine| machine.silent);
-        let list_every = if silent {
-            LIST_EVERY
-        } else {
-            list_lag.max(LIST_EVERY)
-        };
-        let list = !renting.listing && renting.listed_at + list_every <= now;
+        let list = !renting.listing
+            && renting.listed_at + LIST_EVERY <= now
+            && (renting.listed_at + list_lag <= now || books.machines.iter().any(|m| m.silent));
         let mut requests = Vec::new();
         if may_act && renting.trouble_until <= now {
             if renting.planned_at + PLAN_EVERY <= now && renting.rentals.len() < RENTALS {
@@ -244,10 +240,10 @@
                 }
             }
             if !renting.deleting && renting.deleted_at + DELETE_EVERY <= now {
+                renting.deleted_at = now;
                 let names = dead(books, now);
                 if !names.is_empty() {
                     renting.deleting = true;
-                    renting.deleted_at = now;
                     tracing::info!(?names, "deleting machines");
                     requests.push((
                         CloudTag::Delete {
