Sockets: the door is bounded and closes what is idle, calls to workers are bounded

The door takes at most 65% of the sockets and closes what has been idle for 15 s (hyper's own connection builder with a header timeout under warp's service, whose listener has no such setting), calls to workers at most 20%, idle ones close after 4 s instead of 30.

--- a/src/config.rs
+++ b/src/config.rs
@@ -42,6 +42,21 @@
     pub workers: Workers,
     pub state: StateLimits,
     pub cloud: CloudLimits,
+    #[serde(default)]
+    pub limits: NodeLimits,
+}
+
+/// What a node itself may use.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default)]
+pub struct NodeLimits {
+    pub sockets: u32,
+}
+
+impl Default for NodeLimits {
+    fn default() -> Self {
+        NodeLimits { sockets: 1024 }
+    }
 }
 
 /// Guarantees and limits; 0 means none.
@@ -191,6 +206,9 @@
         if settings.workers.cancel_s <= settings.workers.lease_s {
             found.push("settings.workers.cancel_s: must be above workers.lease_s".into());
         }
+        if settings.limits.sockets < 32 {
+            found.push("settings.limits.sockets: must be at least 32".into());
+        }
         if settings.state.value_kb < 2.0 {
             found.push("settings.state.value_kb: must be at least 2".into());
         }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -38,6 +38,10 @@
 const STATE_SHARE: f64 = 0.5;
 const WRITE_SHARE: f64 = 0.6;
 const CLOUD_SHARE: f64 = 0.8;
+/// Parts of the sockets: for whoever asks this node, and for calls to workers under way. Idle
+/// connections to workers and the mesh live on the rest.
+const DOOR_SHARE: f64 = 0.65;
+const WORKERS_SHARE: f64 = 0.2;
 
 #[derive(Debug, thiserror::Error)]
 pub enum DaemonError {
@@ -71,7 +75,9 @@
     let (commands, queue) = mpsc::unbounded_channel();
     let (door, asked) = mpsc::unbounded_channel();
     let (questions, questioned) = mpsc::unbounded_channel();
-    tokio::spawn(server::serve(listener, door));
+    let sockets = f64::from(config.settings.limits.sockets);
+    let connections = (sockets * DOOR_SHARE) as usize;
+    tokio::spawn(server::serve(listener, door, connections));
     let mesh_addr = config.mesh_addr;
     let to_owner = commands.clone();
     tokio::spawn(async move {
@@ -189,6 +195,7 @@
             write_rps: config.settings.state.write_rps,
             cloud_rps: config.settings.cloud.rps,
         };
+        let sockets = f64::from(config.settings.limits.sockets);
         let addrs: HashMap<_, _> = config
             .members
             .iter()
@@ -199,7 +206,7 @@
             owner,
             state: StateClient::new(config.services.state),
             cloud: CloudClient::new(config.services.cloud),
-            workers: WorkerClient::new(),
+            workers: WorkerClient::new((sockets * WORKERS_SHARE).max(1.0) as usize),
             members: mesh::Members::new(addrs.values().copied()),
             addrs,
             requests: Bucket::new(limits.part(limits.rps, STATE_SHARE, false)),
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -10,6 +10,7 @@
     rt::{TokioExecutor, TokioTimer},
 };
 use serde::de::DeserializeOwned;
+use tokio::sync::Semaphore;
 
 use crate::protocol::{
     self,
@@ -24,31 +25,38 @@
 /// An answer: the status and the body.
 pub type Answer = (u16, Bytes);
 
+const IDLE: Duration = Duration::from_secs(30);
+/// Orders to a worker come in bursts. There are hundreds of workers, and sockets and memory for a
+/// connection to each besides its own to us are better kept for those who ask.
+const IDLE_WORKER: Duration = Duration::from_secs(4);
+
 /// One pool of connections. A request that gets no answer leaves the pool to be thrown away:
 /// behind a cut, its idle connections are as dead as the one that was used.
 pub struct Http {
     client: RefCell<Client<HttpConnector, Full<Bytes>>>,
     idle_per_host: usize,
+    idle_for: Duration,
     shared_fate: bool,
 }
 
 impl Http {
     /// `shared_fate`: all requests go to one host, so that one dead connection speaks for all.
-    pub fn new(idle_per_host: usize, shared_fate: bool) -> Self {
+    pub fn new(idle_per_host: usize, idle_for: Duration, shared_fate: bool) -> Self {
         Http {
-            client: RefCell::new(Self::client(idle_per_host)),
+            client: RefCell::new(Self::client(idle_per_host, idle_for)),
             idle_per_host,
+            idle_for,
             shared_fate,
         }
     }
 
-    fn client(idle_per_host: usize) -> Client<HttpConnector, Full<Bytes>> {
+    fn client(idle_per_host: usize, idle_for: Duration) -> Client<HttpConnector, Full<Bytes>> {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(Duration::from_secs(2)));
         Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(Duration::from_secs(30))
+            .pool_idle_timeout(idle_for)
             .pool_max_idle_per_host(idle_per_host)
             .build(connector)
     }
@@ -79,7 +87,7 @@
             Ok(answer) => answer,
             Err(_) => {
                 if self.shared_fate {
-                    *self.client.borrow_mut() = Self::client(self.idle_per_host);
+                    *self.client.borrow_mut() = Self::client(self.idle_per_host, self.idle_for);
                 }
                 None
             }
@@ -115,8 +123,8 @@
 impl StateClient {
     pub fn new(addr: SocketAddrV4) -> Self {
         StateClient {
-            http: Http::new(8, true),
-            watch: Http::new(1, true),
+            http: Http::new(8, IDLE, true),
+            watch: Http::new(1, IDLE, true),
             addr: addr.to_string(),
         }
     }
@@ -218,7 +226,7 @@
 impl CloudClient {
     pub fn new(addr: SocketAddrV4) -> Self {
         CloudClient {
-            http: Http::new(2, true),
+            http: Http::new(2, IDLE, true),
             addr: addr.to_string(),
         }
     }
@@ -277,18 +285,15 @@
 
 pub struct WorkerClient {
     http: Http,
-}
-
-impl Default for WorkerClient {
-    fn default() -> Self {
-        Self::new()
-    }
+    places: Semaphore,
 }
 
 impl WorkerClient {
-    pub fn new() -> Self {
+    /// At most `calls` calls are under way.
+    pub fn new(calls: usize) -> Self {
         WorkerClient {
-            http: Http::new(1, false),
+            http: Http::new(1, IDLE_WORKER, false),
+            places: Semaphore::new(calls),
         }
     }
 
@@ -303,7 +308,11 @@
             Some(orders) => (Method::POST, "/commands", protocol::encode(orders)),
             None => (Method::GET, "/status", Vec::new()),
         };
-        let (status, body) = self.http.call(method, addr, path, body, timeout).await?;
+        // Never closed.
+        let place = self.places.acquire().await.ok()?;
+        let answer = self.http.call(method, addr, path, body, timeout).await;
+        drop(place);
+        let (status, body) = answer?;
         match status {
             200 => parse(&body).map(WorkerReply::Executed),
             409 => parse(&body).map(WorkerReply::Rejected),
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -1,12 +1,17 @@
 //! The listener for users, workers and health checks.
 
-use std::convert::Infallible;
+use std::{convert::Infallible, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{Response, StatusCode};
+use hyper::server::conn::http1;
+use hyper_util::{
+    rt::{TokioIo, TokioTimer},
+    service::TowerToHyperService,
+};
 use tokio::{
     net::TcpListener,
-    sync::{mpsc, oneshot},
+    sync::{Semaphore, mpsc, oneshot},
 };
 use warp::{Filter, Rejection};
 
@@ -89,8 +94,12 @@
     Ok(plain(StatusCode::NOT_FOUND))
 }
 
-/// Serves requests until the process ends.
-pub async fn serve(listener: TcpListener, door: Door) {
+/// A client that asks nothing for this long has left: workers report and users poll every few
+/// seconds. Behind a cut no end of a connection is ever heard of, and sockets are few.
+const IDLE: Duration = Duration::from_secs(15);
+
+/// Serves requests until the process ends, over at most `connections` connections.
+pub async fn serve(listener: TcpListener, door: Door, connections: usize) {
     let with_door = warp::any().map(move || door.clone());
     let body = || warp::body::content_length_limit(MAX_BODY).and(warp::body::bytes());
     let submit = with_door
@@ -129,5 +138,31 @@
         .or(ready)
         .unify()
         .recover(unroutable);
-    warp::serve(routes).incoming(listener).run().await;
+    let service = TowerToHyperService::new(warp::service(routes));
+    let mut http = http1::Builder::new();
+    http.timer(TokioTimer::new()).header_read_timeout(IDLE);
+    let places = Arc::new(Semaphore::new(connections));
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                tracing::debug!(%error, "accept");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                continue;
+            }
+        };
+        // Refused at once: the load balancer and the workers try another node.
+        let Ok(place) = places.clone().try_acquire_owned() else {
+            tracing::debug!("too many connections");
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let connection = http.serve_connection(TokioIo::new(stream), service.clone());
+        tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                tracing::trace!(%error, "connection");
+            }
+            drop(place);
+        });
+    }
 }
--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -299,7 +299,7 @@
     let routes = commands.or(status).unify();
     tokio::spawn(warp::serve(routes).incoming(listener).run());
     tokio::task::spawn_local(async move {
-        let http = Http::new(1, false);
+        let http = Http::new(1, Duration::from_secs(30), false);
         let mut at = 0;
         loop {
             let report = protocol::encode(&machine.lock().expect("the machine").report());
@@ -403,7 +403,7 @@
         .map(|(i, addr)| (format!("n{i}"), *addr));
     let cloud = cloud(worker(named.collect()));
     let mut first = node(0, &ports, state, cloud);
-    let http = Rc::new(Http::new(1, false));
+    let http = Rc::new(Http::new(1, Duration::from_secs(30), false));
     let call = |method: Method, to: usize, path: String, body: Vec<u8>| {
         let (http, addr) = (http.clone(), addrs[to].to_string());
         async move {
