--- a/src/bookkeeping/scheduler.rs
+++ b/src/bookkeeping/scheduler.rs
@@ -17,6 +17,10 @@
 
 /// Seconds of an array task's work that a second of a replica's wait is worth.
 const WORK_FOR_WAIT: f64 = 6.0;
+/// Machines fetch images at the rate of their type, give or take a third.
+const FETCH_VARIES: f64 = 1.33;
+/// What a start takes besides.
+const START_S: f64 = 0.2;
 /// How many placements one round may make before others get their turn.
 const ROUND: usize = 200;
 
@@ -130,7 +134,10 @@
                 .allows(&entry.need)
                 .then(|| best_machine(books, job, task, now))
                 .flatten()
-                .filter(|machine| in_time(books, entry, *machine, now))
+                .filter(|machine| {
+                    entry.kind != Kind::Service
+                        || timely(books, entry, books.machine(*machine), now)
+                })
                 .map(|machine| (task, machine, Vec::new()))
         });
         let target = target.or_else(|| {
@@ -197,20 +204,19 @@
     }
 }
 
-/// Whether a replica that is aimed to start soon would do so there, for all that its image takes.
-fn in_time(books: &Books, job: &Job, machine: MachineIx, now: Millis) -> bool {
+/// Whether a task that is aimed to start soon would do so there, for all that its image takes. One
+/// that is late anyway takes what there is.
+fn timely(books: &Books, job: &Job, machine: &Machine, now: Millis) -> bool {
     let Some(within) = books.aims[job.class.at()].start() else {
         return true;
     };
-    let waited = now.saturating_sub(job.seen_at) as f64 / 1000.0;
-    // A replica that was moved, or is late anyway, takes what there is.
-    job.kind != Kind::Service
-        || waited > within
-        || fetch_s(books, job, books.machine(machine)) <= within - waited
+    let left = within - now.saturating_sub(job.seen_at) as f64 / 1000.0;
+    let fetch_s = fetch_s(books, job, machine);
+    left < 0.0 || fetch_s == 0.0 || fetch_s * FETCH_VARIES + START_S <= left
 }
 
 /// A place for a replica on a machine that has its image, where work of lower priority is stopped
-/// for it; failing that, the place that `in_time` turned down.
+/// for it; failing that, the place that was too far from it.
 fn swap(books: &Books, job: JobIx, task: u32, now: Millis) -> Option<(u32, MachineIx, Vec<usize>)> {
     let entry = books.job(job);
     if entry.kind != Kind::Service {
@@ -298,7 +304,7 @@
         {
             continue;
         }
-        let score = score(books, entry, machine);
+        let score = score(books, entry, machine, now);
         if best.is_none_or(|(least, _)| score < least) {
             best = Some((score, index));
         }
@@ -322,7 +328,7 @@
 }
 
 /// Lower is better; in seconds, or what is held to be worth as much.
-fn score(books: &Books, job: &Job, machine: &Machine) -> f64 {
+fn score(books: &Books, job: &Job, machine: &Machine, now: Millis) -> f64 {
     let kind = &books.types[machine.type_ix.at()];
     let fetch_s = fetch_s(books, job, machine);
     let room = books.room(machine);
@@ -340,11 +346,16 @@
         0.0
     };
     // Arrays can wait for an image; what they pay for is machines that never empty out.
-    let (fetching, packing) = match job.kind {
-        Kind::Array | Kind::Gang => (0.3, 3.0),
-        Kind::Service => (1.0, 1.0),
+    let (fetching, packing, late) = match job.kind {
+        Kind::Array | Kind::Gang => (0.3, 3.0, 2.0),
+        Kind::Service => (1.0, 1.0, 6.0),
+    };
+    let late = if timely(books, job, machine, now) {
+        0.0
+    } else {
+        late
     };
-    fetching * fetch_s + packing * left + borrowed + crowd
+    fetching * fetch_s + packing * left + borrowed + crowd + late
 }
 
 /// What each team deserves now: its guarantee and an equal split of the rest, capped by its demand
