--- a/src/bookkeeping/books.rs
+++ b/src/bookkeeping/books.rs
@@ -50,6 +50,10 @@
     pub fn get(&self, name: &str) -> Option<u32> {
         self.by_name.get(name).copied()
     }
+
+    pub fn iter(&self) -> impl Iterator<Item = (&str, u32)> {
+        self.by_name.iter().map(|(name, index)| (&name[..], *index))
+    }
 }
 
 /// How long a job that nothing is aimed at for is taken to be able to wait, next to those with aims.
@@ -404,6 +408,8 @@
     pub job_index: HashMap<JobId, JobIx>,
     pub machines: Vec<Machine>,
     pub machine_index: HashMap<String, MachineIx>,
+    /// What predecessors knew of machines' images, until the machines are entered.
+    remembered: HashMap<String, Vec<(ImageIx, f64)>>,
     pub chunk_len: u32,
     /// Tasks with changes that the store does not hold and that no write under way carries.
     pub unlogged: BTreeSet<(JobIx, u32)>,
@@ -460,6 +466,7 @@
             job_index: HashMap::new(),
             machines: Vec::new(),
             machine_index: HashMap::new(),
+            remembered: HashMap::new(),
             chunk_len: super::store::chunk_len(settings.state.value_kb),
             unlogged: BTreeSet::new(),
             logging: BTreeSet::new(),
@@ -677,6 +684,7 @@
             return known;
         }
         let index = MachineIx(self.machines.len() as u32);
+        let images = self.remembered.remove(name).unwrap_or_default();
         self.machines.push(Machine {
             name: name.to_owned(),
             addr: None,
@@ -699,7 +707,7 @@
             listed_failed: false,
             attempts: Vec::new(),
             used: Amounts::default(),
-            images: Vec::new(),
+            images,
             idle_since: now,
             busy: false,
             draining: false,
@@ -711,6 +719,18 @@
         index
     }
 
+    /// Takes over what a predecessor knew of a machine's images.
+    pub fn remember(&mut self, machine: String, images: impl Iterator<Item = (String, f64)>) {
+        let images = images.map(|(name, gb)| (ImageIx(self.images.index(&name)), gb));
+        let images = images.collect();
+        match self.machine_index.get(&machine) {
+            Some(known) => self.machines[known.at()].images = images,
+            None => {
+                self.remembered.insert(machine, images);
+            }
+        }
+    }
+
     pub fn room(&self, machine: &Machine) -> Amounts {
         let whole = &self.types[machine.type_ix.at()];
         Amounts {
--- a/src/bookkeeping/store.rs
+++ b/src/bookkeeping/store.rs
@@ -8,6 +8,9 @@
 //! * `books/task/<id>/<chunk>`: a page, all that is known of a stretch of a job's tasks. Pages are
 //!   written when the ring comes round, for what the oldest entries name.
 //!
+//! * `books/images/<part>`: which machines hold which images, for a successor to place by. Only a
+//!   hint: nothing depends on it.
+//!
 //! Notes on one task are put in order by attempt and by what can follow what, so that it makes no
 //! difference in which order a successor reads them, or whether it reads one twice.
 
@@ -16,7 +19,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-use super::books::{Books, JobIx, MachineIx, Task, TaskStatus};
+use super::books::{Books, ImageIx, JobIx, MachineIx, MachineState, Task, TaskStatus};
 use crate::protocol::{ids::JobId, job::Submission};
 
 pub const SHARED: &str = "shared/";
@@ -28,6 +31,7 @@
 const JOB: &str = "shared/job/";
 const TASK: &str = "books/task/";
 const LOG: &str = "books/log/";
+const IMAGES: &str = "books/images/";
 /// Entries that the ring has room for.
 pub const SLOTS: u32 = 256;
 
@@ -57,6 +61,14 @@
     Some((id.parse().ok()?, chunk.parse().ok()?))
 }
 
+pub fn images_key(part: usize) -> String {
+    format!("{IMAGES}{part:05}")
+}
+
+pub fn is_images_key(key: &str) -> bool {
+    key.starts_with(IMAGES)
+}
+
 pub fn slot_key(slot: u32) -> String {
     format!("{LOG}{slot:05}")
 }
@@ -162,6 +174,81 @@
     pub jobs: Vec<(JobId, JobNote, Vec<TaskNote>)>,
 }
 
+/// Which of a table's images each of some machines holds.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ImagesRecord {
+    /// Name and size.
+    pub images: Vec<(String, f64)>,
+    /// A machine's name, and a bit for each image.
+    pub machines: Vec<(String, u64)>,
+}
+
+/// Images that one record tells of.
+const IMAGES_TOLD: usize = 48;
+
+/// What the books know of images, in records whose JSON has at most `bytes` bytes each.
+pub fn images_records(books: &Books, bytes: usize) -> Vec<ImagesRecord> {
+    let mut names: HashMap<ImageIx, &str> = HashMap::new();
+    for (name, index) in books.images.iter() {
+        names.insert(ImageIx(index), name);
+    }
+    let up = || {
+        books
+            .machines
+            .iter()
+            .filter(|m| m.state == MachineState::Up)
+    };
+    let mut count: HashMap<ImageIx, (usize, f64)> = HashMap::new();
+    for &(image, gb) in up().flat_map(|machine| &machine.images) {
+        let known = count.entry(image).or_insert((0, gb));
+        known.0 += 1;
+    }
+    let mut table: Vec<(ImageIx, usize, f64)> = count
+        .into_iter()
+        .map(|(image, (held, gb))| (image, held, gb))
+        .collect();
+    table.sort_by_key(|&(image, held, _)| (std::cmp::Reverse(held), image));
+    table.truncate(IMAGES_TOLD);
+    let images: Vec<(String, f64)> = table
+        .iter()
+        .filter_map(|(image, _, gb)| Some(((*names.get(image)?).to_owned(), *gb)))
+        .collect();
+    let bit: HashMap<ImageIx, usize> = table.iter().map(|row| row.0).zip(0..).collect();
+    let head: usize = 64
+        + images
+            .iter()
+            .map(|(name, _)| name.len() + 32)
+            .sum::<usize>();
+    let mut records: Vec<ImagesRecord> = Vec::new();
+    let mut used = bytes;
+    for machine in up() {
+        let held = machine
+            .images
+            .iter()
+            .filter_map(|(image, _)| bit.get(image))
+            .fold(0, |held, bit| held | 1 << bit);
+        if held == 0 {
+            continue;
+        }
+        let size = machine.name.len() + 8 + NUMBER_BYTES;
+        if used + size > bytes {
+            if head + size > bytes {
+                break;
+            }
+            used = head;
+            records.push(ImagesRecord {
+                images: images.clone(),
+                machines: Vec::new(),
+            });
+        }
+        used += size;
+        if let Some(record) = records.last_mut() {
+            record.machines.push((machine.name.clone(), held));
+        }
+    }
+    records
+}
+
 /// The longest note with a machine of its own, as JSON.
 const NOTE_BYTES: f64 = 160.0;
 
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -485,7 +485,6 @@
     machine.state = MachineState::Lost;
     machine.idle_since = now;
     machine.busy = false;
-    machine.images.clear();
     // Reports of the session that has ended may still arrive.
     machine.session += 1;
     machine.seq = 0;
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -406,6 +406,7 @@
         }
         self.flush();
         self.page();
+        self.note_images();
         self.fence();
         self.sweep();
         self.rent();
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -187,6 +187,7 @@
     FenceCheck { lease: u64 },
     Sweep { lease: u64, jobs: Vec<JobId> },
     Types,
+    Images,
     DeputyGrant,
     DeputyPut { lease: u64 },
     DeputyTouch { lease: u64 },
@@ -328,7 +329,7 @@
             StateTag::Fence { lease } => self.fence_answered(lease, result),
             StateTag::FenceCheck { lease } => self.fence_checked(lease, result),
             StateTag::Sweep { lease, jobs } => self.swept(lease, &jobs, result),
-            StateTag::Types => {}
+            StateTag::Types | StateTag::Images => {}
             StateTag::DeputyGrant => self.deputy_granted(sent_at, result),
             StateTag::DeputyPut { lease } => self.deputy_put(lease, result),
             StateTag::DeputyTouch { lease } => self.deputy_touched(lease, sent_at, result),
--- a/src/coordination/notes.rs
+++ b/src/coordination/notes.rs
@@ -32,6 +32,7 @@
 /// Least time between two writes of pages, while there is room in the ring.
 const PAGE_EVERY: Millis = 250;
 const SWEEP: Millis = 1000;
+const IMAGES_EVERY: Millis = 10_000;
 
 /// A stretch of a job's tasks.
 type Stretch = (JobIx, JobId, u32);
@@ -82,6 +83,7 @@
     paged_at: Millis,
     swept_at: Millis,
     sweeping: Vec<JobId>,
+    images_at: Millis,
 }
 
 impl Default for Notes {
@@ -100,6 +102,7 @@
             paged_at: 0,
             swept_at: 0,
             sweeping: Vec::new(),
+            images_at: 0,
         }
     }
 }
@@ -525,6 +528,39 @@
         }
     }
 
+    /// Tells a successor which machines hold which images: without that it would have them fetched
+    /// where they are not, while users wait.
+    pub(super) fn note_images(&mut self) {
+        let limits = &self.config.settings.state;
+        let bytes = ((limits.value_kb * 1024.0) as usize).min(TXN_BYTES);
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        if leading.notes.images_at + IMAGES_EVERY > self.now {
+            return;
+        }
+        leading.notes.images_at = self.now;
+        let condition = leading.condition();
+        let Some(books) = &leading.books else { return };
+        for (part, record) in store::images_records(books, bytes).iter().enumerate() {
+            let txn = Txn {
+                conditions: vec![condition.clone()],
+                writes: vec![Write::Put {
+                    key: store::images_key(part),
+                    value: store::to_value(record),
+                    lease: None,
+                }],
+            };
+            // Whether it is stored does not matter: the next one comes soon.
+            self.state(
+                StateTag::Images,
+                StateRequest::Txn(txn),
+                Urgency::Normal,
+                TXN_TIMEOUT,
+            );
+        }
+    }
+
     /// A page's version is in doubt; it is written again once that is known.
     fn check_chunk(&mut self, lease: u64, job: JobId, chunk: u32) {
         self.state(
--- a/src/coordination/takeover.rs
+++ b/src/coordination/takeover.rs
@@ -7,7 +7,7 @@
     bookkeeping::{
         Millis,
         books::{Attempt, Books, JobIx, MachineState, Phase, TypeIx},
-        store::{self, ChunkRecord, JobNote, LogRecord, MachineNote, Note, TaskNote},
+        store::{self, ChunkRecord, ImagesRecord, JobNote, LogRecord, MachineNote, Note, TaskNote},
     },
     protocol::{
         ids::JobId,
@@ -25,6 +25,7 @@
     pages: Vec<(JobId, u32, u64, ChunkRecord)>,
     /// Slot, version, record.
     entries: Vec<(u32, u64, LogRecord)>,
+    images: Vec<ImagesRecord>,
     last_key: Option<String>,
 }
 
@@ -47,6 +48,11 @@
                 }
             });
             self.entries.push((slot, row.version, record));
+        } else if store::is_images_key(&row.key) {
+            match serde_json::from_value(row.value) {
+                Ok(record) => self.images.push(record),
+                Err(error) => tracing::error!(key = row.key, %error, "images can't be read"),
+            }
         }
         self.last_key = Some(row.key);
     }
@@ -164,7 +170,17 @@
         for (_, job) in live {
             books.add_job(&job.spec, job.at_ms, self.now);
         }
-        let found = std::mem::take(&mut leading.found);
+        let mut found = std::mem::take(&mut leading.found);
+        for ImagesRecord { images, machines } in std::mem::take(&mut found.images) {
+            for (machine, held) in machines {
+                let held = images
+                    .iter()
+                    .take(64)
+                    .enumerate()
+                    .filter(|(bit, _)| held >> bit & 1 == 1);
+                books.remember(machine, held.map(|(_, image)| image.clone()));
+            }
+        }
         let mut closing = Vec::new();
         let mut jobs: Vec<_> = merged(&found).into_iter().collect();
         jobs.sort_by_key(|(id, _)| *id);
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -308,6 +308,41 @@
     }
 }
 
+/// A successor places by the images that its predecessor knew of.
+#[test]
+fn images_are_told_in_values_that_fit() {
+    let mut books = books((0.0, 0.0), (0.0, 0.0), 600);
+    books.add_job(&job(1, "red", 1200, 8.0), 0, 0);
+    while scheduler::round(&mut books, 0) > 0 {}
+    run_all(&mut books, 0);
+    for bytes in [2048, 16 * 1024] {
+        let records = store::images_records(&books, bytes);
+        let mut told = 0;
+        for record in records {
+            told += record
+                .machines
+                .iter()
+                .filter(|(_, held)| *held == 1)
+                .count();
+            assert_eq!(record.images, [("img".to_owned(), 1.0)]);
+            let value = store::to_value(&record);
+            assert!(value.to_string().len() <= bytes);
+            assert_eq!(
+                serde_json::from_value::<store::ImagesRecord>(value).unwrap(),
+                record
+            );
+        }
+        assert_eq!(told, 600);
+    }
+    let mut successor = self::books((0.0, 0.0), (0.0, 0.0), 0);
+    successor.remember("vm-000007".into(), [("img".to_owned(), 1.0)].into_iter());
+    let zone = successor.zone("a");
+    let machine = successor.add_machine("vm-000007", TypeIx(0), zone, false, 0);
+    successor.add_job(&job(1, "red", 1, 8.0), 0, 0);
+    let image = successor.jobs[0].image;
+    assert!(successor.machine(machine).has_image(image));
+}
+
 /// A fleet's worth of changes is cut into entries that each fit a value, however small that is.
 #[test]
 fn log_entries_fit_a_value_and_name_each_change_once() {
