--- a/src/bookkeeping/scheduler.rs
+++ b/src/bookkeeping/scheduler.rs
@@ -16,7 +16,7 @@
 use crate::protocol::job::{Kind, Priority};
 
 /// Seconds of an array task's work that a second of a replica's wait is worth.
-const WORK_FOR_WAIT: f64 = 6.0;
+const WORK_FOR_WAIT: f64 = 12.0;
 /// Machines fetch images at the rate of their type, give or take a third.
 const FETCH_VARIES: f64 = 1.33;
 /// What a start takes besides.
