Promises to leave a machine alone bind for 7 s; late questions are not answered

The only node that 13 machines could reach after a cut refused to renew them: the cut had held back the new leader's questions about machines that were silent during its takeover, and a promise, once made, bound for good. Now it binds for longer than the leader acts on it, and a question that the leader has given up is not answered. After a write without an answer the next one waits 0.5 s. The test fails on the old code.

--- a/src/config.rs
+++ b/src/config.rs
@@ -44,6 +44,9 @@
     pub cloud: CloudLimits,
     #[serde(default)]
     pub limits: NodeLimits,
+    /// How far the time of day may be off.
+    #[serde(default)]
+    pub clock_error_ms: f64,
 }
 
 /// What a node itself may use.
--- a/src/coordination/deputy.rs
+++ b/src/coordination/deputy.rs
@@ -10,7 +10,8 @@
 use std::collections::HashMap;
 
 use super::{
-    Answer, AskId, Effect, Node, Renewal, Revocation, StateTag, directory::Entry, leader::DRIFT,
+    Answer, AskId, Effect, Node, Renewal, Revocation, StateTag, directory::Entry, fleet::ACK_FRESH,
+    leader::DRIFT,
 };
 use crate::{
     bookkeeping::{
@@ -31,6 +32,13 @@
 const RETRY: Millis = 400;
 /// A leader that has not been heard of for this long may be out of the workers' reach too.
 const LEADER_SILENT: Millis = 2600;
+/// How long a promise to leave a machine alone binds: longer than the leader, which asks again every
+/// second, acts on it. A machine that it has heard from since must not be left to die when it can
+/// only reach this node later.
+const PROMISE: Millis = ACK_FRESH + 2000;
+/// A question older than this has been given up by the leader. Held back by a cut, it may be about
+/// machines that have long been heard again.
+const STALE_QUESTION: u64 = 2500;
 /// A worker that comes back this soon after it was sent to the leader did not get through.
 const BOUNCE: Millis = 9000;
 
@@ -208,12 +216,11 @@
         if !self.may_renew() || report.token > self.directory.term || self.directory.term == 0 {
             return None;
         }
-        if let Some(&(session, at)) = self.deputy.revoked.get(&report.machine) {
-            // A session that is not known was promised for as long as one can live on.
-            let any = session == 0 && now < at + self.worker_lease() + 1000;
-            if any || report.session <= session {
-                return None;
-            }
+        if let Some(&(session, at)) = self.deputy.revoked.get(&report.machine)
+            && now < at + PROMISE
+            && (session == 0 || report.session <= session)
+        {
+            return None;
         }
         self.renewed(report);
         let orders = report
@@ -267,7 +274,9 @@
         self.deputy.renewed.retain(|_, (at, _)| *at + horizon > now);
         self.deputy.sent_on.retain(|_, at| *at + horizon > now);
         let mut renewals = Vec::new();
-        if revocation.term >= self.directory.term {
+        let clocks = 2 * self.config.settings.clock_error_ms as u64;
+        let stale = self.wall > revocation.asked_ms + STALE_QUESTION + clocks;
+        if revocation.term >= self.directory.term && !stale {
             for (machine, session) in revocation.machines {
                 let renewed = self.deputy.renewed.get(&machine).copied();
                 // A process that had this label before may have renewed it up to our start.
@@ -282,3 +291,82 @@
         self.out.push(Effect::Revoked(id, renewals));
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::config::Config;
+
+    const START: Millis = 100_000;
+    const WALL: u64 = 1_700_000_000_000;
+
+    fn deputy(now: Millis) -> Node {
+        let config: Config = serde_json::from_value(serde_json::json!({
+            "label": "n0", "domain": "a", "listen": "127.0.0.1:1", "mesh_addr": "127.0.0.1:2",
+            "services": {"cloud": "127.0.0.1:3", "state": "127.0.0.1:4"},
+            "settings": {
+                "zones": ["a"], "teams": [{"name": "red"}], "clock_error_ms": 100.0,
+                "workers": {"report_s": 2.5, "lease_s": 14.0, "cancel_s": 34.0},
+                "state": {"rps": 100.0, "write_rps": 50.0, "value_kb": 16.0, "txn_ops": 24},
+                "cloud": {"rps": 3.0, "list_lag_s": 6.0}
+            }
+        }))
+        .expect("valid settings");
+        let mut node = Node::new(config);
+        node.directory.term = 3;
+        at(&mut node, now);
+        node
+    }
+
+    fn at(node: &mut Node, now: Millis) {
+        node.now = now;
+        node.wall = WALL + now;
+        node.deputy.held = true;
+        node.deputy.ok = now;
+        node.sync.ok = Some(now);
+    }
+
+    fn ask(node: &mut Node, asked: Millis) -> usize {
+        let revocation = Revocation {
+            term: 3,
+            machines: vec![("vm-1".into(), 1)],
+            asked_ms: WALL + asked,
+        };
+        node.revoke(1, revocation);
+        match node.out.pop() {
+            Some(Effect::Revoked(_, renewals)) => renewals.len(),
+            other => panic!("no answer but {other:?}"),
+        }
+    }
+
+    fn renews(node: &mut Node) -> bool {
+        let report = Report {
+            machine: "vm-1".into(),
+            addr: "10.0.0.1:1".into(),
+            type_name: "c16".into(),
+            zone: "a".into(),
+            spot: false,
+            session: 1,
+            seq: 1,
+            token: 3,
+            notice_s: None,
+            tasks: Vec::new(),
+        };
+        node.renew(&report).is_some()
+    }
+
+    /// A cut held questions back for half a minute; taken for new ones, they let thirteen machines
+    /// that the leader had long heard again die when only this node could be reached.
+    #[test]
+    fn a_promise_binds_while_the_leader_may_act_on_it_and_late_questions_not_at_all() {
+        let mut node = deputy(START);
+        assert_eq!(ask(&mut node, START), 1);
+        for (after, expected) in [(0, false), (ACK_FRESH + 500, false), (PROMISE, true)] {
+            at(&mut node, START + after);
+            assert_eq!(renews(&mut node), expected, "{after} ms after the promise");
+        }
+        let mut node = deputy(START);
+        assert_eq!(ask(&mut node, START - 30_000), 0, "a late question");
+        assert!(renews(&mut node));
+    }
+}
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -25,7 +25,7 @@
 
 const ASK_DEPUTIES: Millis = 1000;
 /// A promise older than this is asked for again.
-const ACK_FRESH: Millis = 5000;
+pub(super) const ACK_FRESH: Millis = 5000;
 const DIRECT_TIMEOUT: Millis = 3000;
 /// Keeps an answer to a report within its limit.
 const MAX_ORDERS: usize = 400;
@@ -364,6 +364,7 @@
         }
         leading.asked_deputies = now;
         let (lease, term) = (leading.lease, leading.term);
+        let asked_ms = self.wall;
         self.want_sync();
         for label in labels {
             self.out.push(Effect::Revoke {
@@ -372,6 +373,7 @@
                 revocation: Revocation {
                     term,
                     machines: machines.clone(),
+                    asked_ms,
                 },
             });
         }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -96,6 +96,8 @@
     pub term: u64,
     /// Name and session; session 0: not known.
     pub machines: Vec<(String, u64)>,
+    /// The leader's time of day when it asked.
+    pub asked_ms: u64,
 }
 
 /// How long ago a node last renewed a machine's lease, at the latest.
--- a/src/coordination/notes.rs
+++ b/src/coordination/notes.rs
@@ -22,6 +22,8 @@
 };
 
 const RETRY: Millis = 150;
+/// After a write without an answer: behind a cut each try costs a slot and a question about it.
+const RETRY_LOST: Millis = 500;
 /// Kept below a transaction's 64 KiB.
 const TXN_BYTES: usize = 48 * 1024;
 /// The part of the leader's writes that the log may take.
@@ -358,7 +360,8 @@
             _ => false,
         };
         let finals = !flush.finals.is_empty();
-        notes.flush_after = self.now + if doubt && !finals { 0 } else { RETRY };
+        let lost = matches!(result, Err(StateError::NoAnswer));
+        notes.flush_after = self.now + if lost { RETRY_LOST } else { RETRY };
         for entry in flush.entries {
             if doubt {
                 self.check_slot(lease, entry.slot);
--- a/src/transport/mesh.rs
+++ b/src/transport/mesh.rs
@@ -104,6 +104,7 @@
                 .into_iter()
                 .map(|machine| (machine.name, machine.session))
                 .collect(),
+            asked_ms: message.asked_ms,
         };
         let (send, receive) = oneshot::channel();
         let gone = || Status::unavailable("the owner is gone");
@@ -203,6 +204,7 @@
                 .into_iter()
                 .map(|(name, session)| proto::SilentMachine { name, session })
                 .collect(),
+            asked_ms: revocation.asked_ms,
         };
         let reply = client.revoke(message).await.ok()?.into_inner();
         let renewals = reply.renewals.into_iter().map(|renewal| Renewal {
