--- a/src/bookkeeping/autoscaler.rs
+++ b/src/bookkeeping/autoscaler.rs
@@ -24,8 +24,9 @@
     pub count: u32,
 }
 
-/// A machine costs this long at least.
-const MIN_CHARGE: Millis = 60_000;
+/// A machine costs a minute at least; a return that is decided on a little earlier is carried out
+/// when that is over.
+const MIN_CHARGE: Millis = 57_000;
 /// An empty machine is kept this long: the next job may want it.
 const IDLE: Millis = 12_000;
 /// An offer that had nothing is not asked again for this long.
