Histories play the same each time; lost acceptances are asked for again

The node made its books from a map in that map's chance order (jobs, deputies), so one seed was many histories. In those that failed, no rule and no job was stuck: two services held their team's limit to the end, because the model's users, once faults were over, asked again only about jobs whose acceptance had reached them. Ruled out: the scheduler (the team worked at its limit throughout).

Changed: the directory, deputies, notes at takeover and the index of jobs are in order; lookups alone stay hashed. Users of the model submit again until they have an answer, and every array that nobody cancelled must end. FIRST and HISTORIES choose seeds.

--- a/src/bookkeeping/books.rs
+++ b/src/bookkeeping/books.rs
@@ -4,7 +4,7 @@
 //! machine's room) until it is *known* to be gone: a newer report denies it and no start of it can
 //! still be on its way, or the machine's lease has surely run out, or the cloud deleted the machine.
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 use super::{Millis, millis};
 use crate::{
@@ -405,7 +405,7 @@
     pub type_names: Names,
     pub jobs: Vec<Job>,
     pub free_jobs: Vec<JobIx>,
-    pub job_index: HashMap<JobId, JobIx>,
+    pub job_index: BTreeMap<JobId, JobIx>,
     pub machines: Vec<Machine>,
     pub machine_index: HashMap<String, MachineIx>,
     /// What predecessors knew of machines' images, until the machines are entered.
@@ -463,7 +463,7 @@
             type_names: Names::default(),
             jobs: Vec::new(),
             free_jobs: Vec::new(),
-            job_index: HashMap::new(),
+            job_index: BTreeMap::new(),
             machines: Vec::new(),
             machine_index: HashMap::new(),
             remembered: HashMap::new(),
--- a/src/coordination/directory.rs
+++ b/src/coordination/directory.rs
@@ -4,7 +4,7 @@
 //! new as the moment at which it was sent. Answers that could be older than what another node has
 //! told a user are given only after a sync that began after the question came.
 
-use std::{collections::HashMap, rc::Rc};
+use std::{collections::BTreeMap, rc::Rc};
 
 use serde_json::Value;
 
@@ -48,7 +48,8 @@
 
 #[derive(Default)]
 pub struct Directory {
-    jobs: HashMap<JobId, Entry>,
+    /// In order: what the books are made from must not depend on chance.
+    jobs: BTreeMap<JobId, Entry>,
     /// All changes up to here are in.
     revision: u64,
     loaded: bool,
@@ -57,7 +58,7 @@
     pub term_version: u64,
     pub types: Option<(MachineTypes, u64)>,
     /// Nodes that may renew workers' leases, with the version of their keys.
-    pub deputies: HashMap<String, u64>,
+    pub deputies: BTreeMap<String, u64>,
 }
 
 /// What a change in the directory means to the leader.
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -1,6 +1,6 @@
 //! The leader and its workers: what reports mean, which orders go out, when silence means death.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use super::{Answer, AskId, Effect, Leading, Node, Renewal, Revocation, WorkerTag};
 use crate::{
@@ -434,7 +434,7 @@
 
 /// Whether no other node can have renewed a machine's lease within the time it lasts.
 fn nobody_renews(
-    deputies: &HashMap<String, u64>,
+    deputies: &BTreeMap<String, u64>,
     gone: &HashMap<String, Millis>,
     acks: &HashMap<(String, String), Ack>,
     machine: &str,
--- a/src/coordination/takeover.rs
+++ b/src/coordination/takeover.rs
@@ -1,6 +1,6 @@
 //! Taking over: the books rebuilt from the jobs and from the predecessors' notes.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashSet};
 
 use super::{Leading, Node, StateTag, notes::Notes};
 use crate::{
@@ -68,7 +68,7 @@
 /// What notes say of a job.
 struct Noted<'a> {
     job: &'a JobNote,
-    tasks: HashMap<u32, Latest<'a>>,
+    tasks: BTreeMap<u32, Latest<'a>>,
 }
 
 impl<'a> Noted<'a> {
@@ -98,13 +98,13 @@
 }
 
 /// Puts pages and those entries that count together, job by job.
-fn merged(found: &Found) -> HashMap<JobId, Noted<'_>> {
+fn merged(found: &Found) -> BTreeMap<JobId, Noted<'_>> {
     let first = found.entries.iter().map(|(.., record)| record.first).max();
-    let mut jobs: HashMap<JobId, Noted> = HashMap::new();
+    let mut jobs: BTreeMap<JobId, Noted> = BTreeMap::new();
     for (id, _, _, record) in &found.pages {
         let noted = jobs.entry(*id).or_insert_with(|| Noted {
             job: &record.job,
-            tasks: HashMap::new(),
+            tasks: BTreeMap::new(),
         });
         noted.merge(&record.tasks, &record.machines);
     }
@@ -115,7 +115,7 @@
         for (id, job, tasks) in &record.jobs {
             let noted = jobs.entry(*id).or_insert_with(|| Noted {
                 job,
-                tasks: HashMap::new(),
+                tasks: BTreeMap::new(),
             });
             noted.merge(tasks, &record.machines);
         }
@@ -182,11 +182,8 @@
             }
         }
         let mut closing = Vec::new();
-        let mut jobs: Vec<_> = merged(&found).into_iter().collect();
-        jobs.sort_by_key(|(id, _)| *id);
-        let paged: std::collections::HashSet<JobId> =
-            found.pages.iter().map(|(id, ..)| *id).collect();
-        for (id, noted) in jobs {
+        let paged: HashSet<JobId> = found.pages.iter().map(|(id, ..)| *id).collect();
+        for (id, noted) in merged(&found) {
             let job = match books.job_index.get(&id) {
                 Some(&known) => known,
                 None => {
@@ -274,9 +271,7 @@
 
 /// Enters what predecessors noted of a job's tasks.
 fn enter(books: &mut Books, job: JobIx, noted: Noted, leading: &Leading) {
-    let mut tasks: Vec<_> = noted.tasks.into_iter().collect();
-    tasks.sort_by_key(|(index, _)| *index);
-    for (index, latest) in tasks {
+    for (index, latest) in noted.tasks {
         if index as usize >= books.job(job).tasks.len() {
             continue;
         }
--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -7,6 +7,7 @@
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BinaryHeap, HashMap, HashSet},
+    hash::{DefaultHasher, Hash, Hasher},
 };
 
 use dalelb::{
@@ -144,6 +145,8 @@
     starts: usize,
     /// Relayed requests that a member answered well.
     relayed: usize,
+    /// Over all that the nodes sent, in order.
+    trace: DefaultHasher,
     faults: bool,
 }
 
@@ -173,6 +176,7 @@
             next_ask: 0,
             starts: 0,
             relayed: 0,
+            trace: DefaultHasher::new(),
             faults: true,
         };
         for index in 0..4 {
@@ -261,6 +265,7 @@
 
     fn perform(&mut self, index: usize, life: u64, effect: Effect) {
         let sent = self.now - self.born[index];
+        format!("{effect:?}").hash(&mut self.trace);
         match effect {
             Effect::State {
                 tag,
@@ -1091,8 +1096,8 @@
     }
 }
 
-/// Plays a history; how many relayed requests were answered.
-fn play(seed: u64) -> usize {
+/// Plays a history; how many relayed requests were answered, and what all that was sent hashes to.
+fn play(seed: u64) -> (usize, u64) {
     let mut world = World::new(seed);
     let mut number = 0;
     for second in 0..180 {
@@ -1131,28 +1136,34 @@
         let ids: Vec<JobId> = world.jobs.keys().copied().collect();
         for id in ids {
             let (spec, told) = &world.jobs[&id];
-            if !told.accepted || second % 5 != 0 {
+            if second % 5 != 0 {
                 continue;
             }
-            // Services would hold their team's limit for good.
+            // Services would hold their team's limit for good, also one whose acceptance was lost
+            // on its way to the user.
             let cancel = spec.kind == Kind::Service && told.cancelled_at.is_none();
-            world.ask(
-                id,
-                if cancel {
-                    Ask::Cancel(id)
-                } else {
-                    Ask::Poll(id)
-                },
-            );
+            let ask = match told.accepted {
+                false => Ask::Submit(Box::new(spec.clone())),
+                true if cancel => Ask::Cancel(id),
+                true => Ask::Poll(id),
+            };
+            world.ask(id, ask);
         }
     }
     assert!(world.starts > 20, "nothing_ran: {} starts", world.starts);
     for (id, (spec, told)) in &world.jobs {
-        if spec.kind == Kind::Array && told.accepted && !told.asked_to_cancel {
-            assert_eq!(told.last, Some(JobStatus::Done), "{id} never ended");
+        if spec.kind == Kind::Array && !told.asked_to_cancel {
+            assert_eq!(
+                told.last,
+                Some(JobStatus::Done),
+                "{id} of {} never ended: {:?}, {:?}",
+                spec.team,
+                world.where_is("red"),
+                world.where_is("blue"),
+            );
         }
     }
-    world.relayed
+    (world.relayed, world.trace.finish())
 }
 
 /// `LOG_LEVEL` shows what the nodes say, to explain a broken rule.
@@ -1168,12 +1179,21 @@
 #[test]
 fn no_rule_breaks_whatever_fails() {
     logging();
-    // `HISTORIES=1000` looks further than the usual run.
-    let count = std::env::var("HISTORIES").ok().and_then(|n| n.parse().ok());
+    // `HISTORIES=1000` looks further than the usual run; `FIRST=15 HISTORIES=16` plays seed 15 alone.
+    let number = |name| std::env::var(name).ok().and_then(|n| n.parse::<u64>().ok());
     let mut relayed = 0;
-    for seed in 0..count.unwrap_or(24) {
+    for seed in number("FIRST").unwrap_or(0)..number("HISTORIES").unwrap_or(24) {
         println!("seed {seed}");
-        relayed += play(seed);
+        relayed += play(seed).0;
     }
     assert!(relayed > 0, "no request reached a member in a node's place");
 }
+
+/// What a node sends follows from its commands and their times alone. Books were once made from a
+/// map in its chance order: the same seed then failed on one machine and passed on another.
+#[test]
+fn the_same_history_plays_the_same() {
+    for seed in [3, 15] {
+        assert_eq!(play(seed).1, play(seed).1, "seed {seed}");
+    }
+}
--- a/tests/model/mod.rs
+++ b/tests/model/mod.rs
@@ -1,6 +1,6 @@
 //! A model of the state service.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
 use dalelb::protocol::state::*;
 use serde_json::Value;
@@ -10,7 +10,7 @@
 pub struct Store {
     pub keys: BTreeMap<String, (Value, u64, Option<u64>)>,
     pub revision: u64,
-    pub leases: HashMap<u64, (u64, u64)>,
+    pub leases: BTreeMap<u64, (u64, u64)>,
     pub log: Vec<(u64, Event)>,
     pub next_lease: u64,
     pub down_until: u64,
