A late report of a worker's new session denies nothing that is inherited

One was the first of a worker's new session, sent before the predecessor started a task in that session. The leader took the task for gone, although the worker had not shown its term yet, and started it elsewhere. Now what is inherited stays until the worker has seen this term, whatever its session.

The models: workers keep images, commands may be late by up to 2.9 s, transactions are held to txn_ops, four times as many conditions, value_kb and 64 KiB (24/16, 4/2 and 48/2 by turns).

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -459,15 +459,22 @@
 
 /// The worker began a new session: what it does not report any more is gone, and starts sent to an
 /// earlier session are refused.
+///
+/// What is inherited may have been started in this very session: the report that tells of it may
+/// have been on its way since before that, and denies nothing until the worker has seen this term.
 fn end_session(books: &mut Books, on: MachineIx, now: Millis, listed: &[TaskReport]) {
     let machine = &mut books.machines[on.at()];
-    for attempt in &mut machine.attempts {
+    for attempt in machine.attempts.iter_mut().filter(|a| !a.inherited) {
         attempt.outstanding = false;
         attempt.answered_at = None;
         attempt.fence = 0;
     }
     for at in (0..books.machine(on).attempts.len()).rev() {
-        let attempt = &books.machine(on).attempts[at];
+        let machine = books.machine(on);
+        let attempt = &machine.attempts[at];
+        if machine.start_in_flight(attempt) {
+            continue;
+        }
         let task = books.job(attempt.job).task_id(attempt.task);
         let shown = listed
             .iter()
@@ -740,3 +747,71 @@
     }
     orders
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::{
+        bookkeeping::{books::Attempt, store::JobNote},
+        config::Settings,
+        coordination::takeover::over,
+        protocol::ids::JobId,
+    };
+    use serde_json::json;
+
+    /// A controller that was cut off for a while led again, and the reports held back for it came in
+    /// at once: the one that began a worker's new session was older than the start that the
+    /// predecessor had sent to that session. Taken as news, it freed a task that was running.
+    #[test]
+    fn a_late_report_of_a_new_session_denies_nothing_inherited() {
+        let settings: Settings = serde_json::from_value(json!({
+            "zones": ["a"], "teams": [{"name": "red"}],
+            "workers": {"report_s": 2.5, "lease_s": 14.0, "cancel_s": 34.0},
+            "state": {"rps": 100.0, "write_rps": 50.0, "value_kb": 16.0, "txn_ops": 24},
+            "cloud": {"rps": 3.0}
+        }))
+        .expect("valid settings");
+        let mut books = Books::new(&settings, &[]);
+        let noted = JobNote {
+            team: "red".into(),
+            of: 2,
+            cpus: 1.0,
+            gpus: 0.0,
+            ram_gb: 1.0,
+        };
+        let job = over(&mut books, JobId(1), &noted, 0).expect("a known team");
+        let zone = books.zone("a");
+        let on = books.add_machine("vm-1", TypeIx(0), zone, false, 0);
+        for (task, inherited) in [(0, true), (1, false)] {
+            let attempt = Attempt {
+                job,
+                task,
+                attempt: 1,
+                phase: Phase::Placed,
+                cause: None,
+                placed_at: 0,
+                running_since: None,
+                sent: true,
+                inherited,
+                outstanding: !inherited,
+                answered_at: None,
+                fence: 7,
+                stop: None,
+                stop_sent: false,
+                settled: false,
+            };
+            books.book(attempt, on);
+        }
+        let left = |books: &Books| -> Vec<u32> {
+            let attempts = &books.machine(on).attempts;
+            attempts.iter().map(|attempt| attempt.task).collect()
+        };
+        books.machines[on.at()].token = 6;
+        end_session(&mut books, on, 0, &[]);
+        assert_eq!(left(&books), [0], "the own start went to the old session");
+        // A worker that has seen this term refuses what the predecessor sent.
+        books.machines[on.at()].token = 7;
+        end_session(&mut books, on, 0, &[]);
+        assert!(left(&books).is_empty());
+    }
+}
--- a/src/coordination/takeover.rs
+++ b/src/coordination/takeover.rs
@@ -243,7 +243,7 @@
 
 /// Enters a job that is over, known only by its notes: what is left of it has to be stopped, and
 /// counts until then.
-fn over(books: &mut Books, id: JobId, noted: &JobNote, now: Millis) -> Option<JobIx> {
+pub(super) fn over(books: &mut Books, id: JobId, noted: &JobNote, now: Millis) -> Option<JobIx> {
     let spec = Submission {
         id,
         class: String::new(),
--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -17,7 +17,7 @@
     transport::client::Http,
 };
 use http::{Method, Response};
-use model::Store;
+use model::{Limits, Store};
 use serde::Deserialize;
 use serde_json::{Value, json};
 use tokio::process::{Child, Command};
@@ -104,7 +104,11 @@
 }
 
 fn state_service() -> SocketAddr {
-    let store: Shared = Arc::default();
+    let limits = Limits {
+        txn_ops: 24,
+        value_kb: 16.0,
+    };
+    let store: Shared = Arc::new(Mutex::new(Store::new(limits)));
     let with = warp::any().map(move || store.clone());
     let get = with
         .clone()
--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -6,7 +6,7 @@
 
 use std::{
     cmp::Reverse,
-    collections::{BTreeMap, BinaryHeap, HashMap, HashSet},
+    collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, HashSet},
     hash::{DefaultHasher, Hash, Hasher},
 };
 
@@ -22,7 +22,7 @@
         worker::*,
     },
 };
-use model::Store;
+use model::{Limits, Store};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use serde_json::{Value, json};
 
@@ -31,7 +31,26 @@
 const CANCEL_MS: u64 = 34_000;
 const LIMIT: f64 = 24.0;
 
-fn config(index: usize) -> Config {
+/// What the state service takes at once, by seed: the usual, very little, and in between. With little
+/// what belongs together is written in several transactions, and a crash may come between them.
+fn limits(seed: u64) -> Limits {
+    [
+        Limits {
+            txn_ops: 24,
+            value_kb: 16.0,
+        },
+        Limits {
+            txn_ops: 4,
+            value_kb: 2.0,
+        },
+        Limits {
+            txn_ops: 48,
+            value_kb: 2.0,
+        },
+    ][seed as usize % 3]
+}
+
+fn config(index: usize, limits: Limits) -> Config {
     let members: Vec<Value> = (0..NODES)
         .filter(|other| *other != index)
         .map(|other| {
@@ -48,7 +67,8 @@
             "teams": [{"name": "red", "cpus": 8.0, "cpus_max": LIMIT}, {"name": "blue"}],
             "workers": {"report_s": 2.5, "lease_s": LEASE_MS as f64 / 1000.0,
                         "cancel_s": CANCEL_MS as f64 / 1000.0},
-            "state": {"rps": 100.0, "write_rps": 50.0, "value_kb": 16.0, "txn_ops": 24},
+            "state": {"rps": 100.0, "write_rps": 50.0, "value_kb": limits.value_kb,
+                      "txn_ops": limits.txn_ops},
             "cloud": {"rps": 3.0, "list_lag_s": 6.0}
         }
     }))
@@ -80,6 +100,7 @@
     gone: bool,
     /// Reports late by this much drift.
     drift: f64,
+    images: BTreeSet<String>,
 }
 
 enum What {
@@ -147,6 +168,8 @@
     relayed: usize,
     /// Over all that the nodes sent, in order.
     trace: DefaultHasher,
+    /// Chance that a command to a worker is late, though within its sender's patience.
+    late_orders: f64,
     faults: bool,
 }
 
@@ -164,7 +187,7 @@
             cut_store: vec![0; NODES],
             cut_workers: vec![0; NODES],
             cut_mesh: vec![0; NODES],
-            store: Store::default(),
+            store: Store::new(limits(seed)),
             watches: Vec::new(),
             answered: HashSet::new(),
             workers: Vec::new(),
@@ -177,6 +200,7 @@
             starts: 0,
             relayed: 0,
             trace: DefaultHasher::new(),
+            late_orders: [0.0, 0.1, 0.4][(seed / 3) as usize % 3],
             faults: true,
         };
         for index in 0..4 {
@@ -206,6 +230,7 @@
             cut_until: 0,
             gone: false,
             drift,
+            images: BTreeSet::new(),
         });
         name
     }
@@ -234,7 +259,7 @@
     fn boot(&mut self, index: usize) {
         self.lives[index] += 1;
         self.born[index] = self.now;
-        self.nodes[index] = Some(Node::new(config(index)));
+        self.nodes[index] = Some(Node::new(config(index, self.store.limits)));
         self.at(self.now, What::Tick(index));
     }
 
@@ -325,7 +350,13 @@
                     What::ToNode(index, life | ticket << 20, Box::new(give_up)),
                 );
                 let cut = self.cut_workers[index].max(self.workers[at].cut_until);
-                if let Some(time) = self.arrival(cut) {
+                let late = self.faults && self.rng.random_bool(self.late_orders);
+                let slower = if late {
+                    self.rng.random_range(100..2900)
+                } else {
+                    0
+                };
+                if let Some(time) = self.arrival(cut).map(|time| time + slower) {
                     let whom = (at as u64) << 40 | ticket;
                     self.at(
                         time,
@@ -491,6 +522,7 @@
             let spec = self.jobs[&task.job].0.clone();
             let state = self.workers[at].tasks[&task].state;
             if state == TaskState::Fetching {
+                self.workers[at].images.insert(spec.image.clone());
                 self.started(at, task, &spec);
                 let done = self.completed.contains(&task);
                 let on = self.workers[at].tasks.get_mut(&task).expect("it is there");
@@ -596,6 +628,11 @@
                     }
                     let fetch = self.rng.random_range(50..3000);
                     let worker = &mut self.workers[at];
+                    let fetch = if worker.images.contains(&spec.image) {
+                        1
+                    } else {
+                        fetch
+                    };
                     if worker
                         .tasks
                         .get(&task)
@@ -1181,11 +1218,31 @@
     logging();
     // `HISTORIES=1000` looks further than the usual run; `FIRST=15 HISTORIES=16` plays seed 15 alone.
     let number = |name| std::env::var(name).ok().and_then(|n| n.parse::<u64>().ok());
-    let mut relayed = 0;
-    for seed in number("FIRST").unwrap_or(0)..number("HISTORIES").unwrap_or(24) {
-        println!("seed {seed}");
-        relayed += play(seed).0;
+    let first = number("FIRST").unwrap_or(0);
+    let seeds: Vec<u64> = (first..number("HISTORIES").unwrap_or(64)).collect();
+    let at_once = std::thread::available_parallelism().map_or(1, |n| n.get());
+    let (mut relayed, mut broken) = (0, Vec::new());
+    for seeds in seeds.chunks(at_once) {
+        std::thread::scope(|scope| {
+            // A panic tells its thread's name, so the seed.
+            let played: Vec<_> = seeds
+                .iter()
+                .map(|seed| {
+                    std::thread::Builder::new()
+                        .name(format!("seed {seed}"))
+                        .spawn_scoped(scope, || play(*seed).0)
+                        .expect("a thread")
+                })
+                .collect();
+            for (seed, played) in seeds.iter().zip(played) {
+                match played.join() {
+                    Ok(count) => relayed += count,
+                    Err(_) => broken.push(*seed),
+                }
+            }
+        });
     }
+    assert!(broken.is_empty(), "broken with seeds {broken:?}");
     assert!(relayed > 0, "no request reached a member in a node's place");
 }
 
--- a/tests/model/mod.rs
+++ b/tests/model/mod.rs
@@ -5,9 +5,36 @@
 use dalelb::protocol::state::*;
 use serde_json::Value;
 
+/// What a transaction may hold.
+#[derive(Clone, Copy)]
+pub struct Limits {
+    pub txn_ops: u32,
+    pub value_kb: f64,
+}
+
+impl Limits {
+    fn check(self, txn: &Txn) {
+        let ops = self.txn_ops as usize;
+        assert!(txn.writes.len() <= ops, "{} writes", txn.writes.len());
+        let conditions = txn.conditions.len();
+        assert!(conditions <= 4 * ops, "{conditions} conditions");
+        for write in &txn.writes {
+            if let Write::Put { key, value, .. } = write {
+                let bytes = value.to_string().len();
+                assert!(
+                    bytes as f64 <= self.value_kb * 1024.0,
+                    "{key} has {bytes} bytes"
+                );
+            }
+        }
+        let bytes = serde_json::to_vec(txn).expect("a transaction").len();
+        assert!(bytes <= 64 * 1024, "a transaction of {bytes} bytes");
+    }
+}
+
 /// Keys, versions, leases and the log of changes, by the published protocol.
-#[derive(Default)]
 pub struct Store {
+    pub limits: Limits,
     pub keys: BTreeMap<String, (Value, u64, Option<u64>)>,
     pub revision: u64,
     pub leases: BTreeMap<u64, (u64, u64)>,
@@ -17,6 +44,18 @@
 }
 
 impl Store {
+    pub fn new(limits: Limits) -> Self {
+        Store {
+            limits,
+            keys: BTreeMap::new(),
+            revision: 0,
+            leases: BTreeMap::new(),
+            log: Vec::new(),
+            next_lease: 0,
+            down_until: 0,
+        }
+    }
+
     pub fn expire(&mut self, now: u64) {
         if self.down_until > now {
             return;
@@ -90,6 +129,7 @@
                 })
             }
             StateRequest::Txn(txn) => {
+                self.limits.check(txn);
                 for write in &txn.writes {
                     if let Write::Put {
                         lease: Some(lease), ..
