Equal tasks of an array share one look at all machines

Cause: each placement looked at every machine, so a round of 200 looked 120,000 times at 600 machines, every 40 ms while a burst is taken in. Within a round a machine only gets fuller, and to an array a fuller one is better: the job's best machine stays best unless one that got something since is. So a task compares the last place with those only. Replicas look twice instead of three times.

--- a/src/bookkeeping/scheduler.rs
+++ b/src/bookkeeping/scheduler.rs
@@ -6,7 +6,7 @@
 
 use std::{
     cmp::Reverse,
-    collections::{BinaryHeap, HashSet},
+    collections::{BinaryHeap, HashMap, HashSet},
 };
 
 use super::{
@@ -85,10 +85,88 @@
     }
 }
 
+/// The looks at machines of one round. An array's task goes where the one before it went, unless a
+/// machine that got something since is better by now: within a round a machine only gets fuller, and
+/// to an array a fuller one is better. So equal tasks share one look at all machines.
+#[derive(Default)]
+pub struct Looks {
+    plain: bool,
+    /// How many machines were looked at.
+    pub count: usize,
+    /// The best machine for a job, and how many of `filled` that took in.
+    known: HashMap<JobIx, (MachineIx, usize)>,
+    /// Machines in the order in which something was placed on them.
+    filled: Vec<MachineIx>,
+}
+
+impl Looks {
+    /// Looks at all machines for each task: what shared looks are held to.
+    pub fn plain() -> Self {
+        Looks {
+            plain: true,
+            ..Looks::default()
+        }
+    }
+
+    /// The machine on which the task would start soonest, then the fullest one that has room.
+    fn best(&mut self, books: &Books, job: JobIx, task: u32, now: Millis) -> Option<MachineIx> {
+        let entry = books.job(job);
+        let rate = |at: MachineIx| {
+            let machine = books.machine(at);
+            let fits = books.fits(entry, machine)
+                && machine.avoid_until <= now
+                && !entry.failed_on.contains(&at);
+            fits.then(|| (score(books, entry, machine, now), at))
+        };
+        let free = |at: MachineIx| !books.machine(at).holds(job, task);
+        if let Some(&(best, until)) = self.known.get(&job)
+            && self.filled.len() - until < books.machines.len()
+            && free(best)
+            && let Some(mut least) = rate(best)
+        {
+            let filled = &self.filled[until..];
+            self.count += 1 + filled.len();
+            for other in filled.iter().filter(|at| free(**at)) {
+                least = rate(*other).filter(|other| *other < least).unwrap_or(least);
+            }
+            self.known.insert(job, (least.1, self.filled.len()));
+            return Some(least.1);
+        }
+        self.count += books.machines.len();
+        let mut least: Option<(f64, MachineIx)> = None;
+        let mut held = false;
+        for at in (0..books.machines.len() as u32).map(MachineIx) {
+            if let Some(found) = rate(at) {
+                if !free(at) {
+                    held = true;
+                } else if least.is_none_or(|least| found < least) {
+                    least = Some(found);
+                }
+            }
+        }
+        self.known.remove(&job);
+        // Replicas keep away from each other, and a machine that still holds this task may take
+        // the next.
+        if let Some((_, best)) = least
+            && entry.kind == Kind::Array
+            && !held
+            && !self.plain
+        {
+            self.known.insert(job, (best, self.filled.len()));
+        }
+        least.map(|(_, at)| at)
+    }
+}
+
 /// One allocation round: pops the team with the fewest booked units, places its first task,
 /// reshuffles. A job that fits nowhere, or whose team is at its limit, sits this round out; a team
 /// without another job leaves the heap. Returns how many tasks were placed.
 pub fn round(books: &mut Books, now: Millis) -> usize {
+    allocate(books, now, &mut Looks::default())
+}
+
+/// A round that tells of its looks.
+pub fn allocate(books: &mut Books, now: Millis, looks: &mut Looks) -> usize {
     let deserved = deserved(books, capacity(books));
     let mut heap: BinaryHeap<_> = (0..books.teams.len() as u32)
         .map(TeamIx)
@@ -113,6 +191,7 @@
                     placed += places.len();
                     for (task, machine) in places {
                         books.place(job, task, machine, now);
+                        looks.filled.push(machine);
                     }
                 }
                 None => {
@@ -129,21 +208,16 @@
             continue;
         }
         let task = entry.waiting.first().copied();
-        let target = task.filter(|_| entry.not_before <= now).and_then(|task| {
-            books.teams[team.at()]
-                .allows(&entry.need)
-                .then(|| best_machine(books, job, task, now))
-                .flatten()
-                .filter(|machine| {
-                    entry.kind != Kind::Service
-                        || timely(books, entry, books.machine(*machine), now)
-                })
-                .map(|machine| (task, machine, Vec::new()))
-        });
-        let target = target.or_else(|| {
-            let task = task.filter(|_| entry.not_before <= now)?;
-            books.teams[team.at()].allows(&entry.need).then_some(())?;
-            swap(books, job, task, now)
+        let ready = entry.not_before <= now && books.teams[team.at()].allows(&entry.need);
+        let target = task.filter(|_| ready).and_then(|task| {
+            let plain = looks.best(books, job, task, now);
+            if entry.kind != Kind::Service {
+                return Some((task, plain?, Vec::new()));
+            }
+            match plain.filter(|at| timely(books, entry, books.machine(*at), now)) {
+                Some(machine) => Some((task, machine, Vec::new())),
+                None => swap(books, job, task, plain, now, looks),
+            }
         });
         match target {
             Some((task, machine, victims)) => {
@@ -151,6 +225,7 @@
                     books.stop(machine, at, 0.0);
                 }
                 books.place(job, task, machine, now);
+                looks.filled.push(machine);
                 placed += 1;
             }
             None => {
@@ -216,13 +291,18 @@
 }
 
 /// A place for a replica on a machine that has its image, where work of lower priority is stopped
-/// for it; failing that, the place that was too far from it.
-fn swap(books: &Books, job: JobIx, task: u32, now: Millis) -> Option<(u32, MachineIx, Vec<usize>)> {
+/// for it; failing that, `plain`, the place that was too far from it.
+fn swap(
+    books: &Books,
+    job: JobIx,
+    task: u32,
+    plain: Option<MachineIx>,
+    now: Millis,
+    looks: &mut Looks,
+) -> Option<(u32, MachineIx, Vec<usize>)> {
     let entry = books.job(job);
-    if entry.kind != Kind::Service {
-        return None;
-    }
     let mut best: Option<(f64, MachineIx, Vec<usize>)> = None;
+    looks.count += books.machines.len();
     for (index, machine) in books.machines.iter().enumerate() {
         let index = MachineIx(index as u32);
         if !machine.usable()
@@ -265,7 +345,6 @@
             best = Some((cost, index, chosen));
         }
     }
-    let plain = best_machine(books, job, task, now);
     // Where it fits without harm but would fetch its image first, the wait must be worth the work.
     let worth = plain.map_or(f64::INFINITY, |machine| {
         fetch_s(books, entry, books.machine(machine)) * WORK_FOR_WAIT
@@ -291,27 +370,6 @@
     lost + if ran < FRESH_S { 10.0 } else { 0.0 }
 }
 
-/// The machine on which the task would start soonest, then the fullest one that has room.
-fn best_machine(books: &Books, job: JobIx, task: u32, now: Millis) -> Option<MachineIx> {
-    let entry = books.job(job);
-    let mut best: Option<(f64, MachineIx)> = None;
-    for (index, machine) in books.machines.iter().enumerate() {
-        let index = MachineIx(index as u32);
-        if !books.fits(entry, machine)
-            || machine.avoid_until > now
-            || entry.failed_on.contains(&index)
-            || machine.holds(job, task)
-        {
-            continue;
-        }
-        let score = score(books, entry, machine, now);
-        if best.is_none_or(|(least, _)| score < least) {
-            best = Some((score, index));
-        }
-    }
-    best.map(|(_, index)| index)
-}
-
 /// How long the job's image takes to get there.
 fn fetch_s(books: &Books, job: &Job, machine: &Machine) -> f64 {
     if machine.has_image(job.image) {
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -1,10 +1,13 @@
 //! The books, the scheduler and the autoscaler under generated loads.
 
+use std::collections::HashSet;
+
 use dalelb::{
     bookkeeping::{
         autoscaler::Autoscaler,
-        books::{Amounts, Books, MachineState, Phase, TeamIx, TypeIx},
-        scheduler, store,
+        books::{Amounts, Books, Machine, MachineIx, MachineState, Phase, TeamIx, TypeIx},
+        scheduler::{self, Looks},
+        store,
     },
     config::Settings,
     protocol::{
@@ -85,7 +88,7 @@
 
 fn run_all(books: &mut Books, now: u64) {
     for machine in 0..books.machines.len() as u32 {
-        let machine = dalelb::bookkeeping::books::MachineIx(machine);
+        let machine = MachineIx(machine);
         for at in 0..books.machine(machine).attempts.len() {
             books.advance(machine, at, Phase::Running, now);
         }
@@ -121,7 +124,7 @@
     let again = scheduler::preempt(&books, 1000, false);
     assert!(again.is_empty(), "what is being stopped already is enough");
     for number in 0..4 {
-        let machine = dalelb::bookkeeping::books::MachineIx(number);
+        let machine = MachineIx(number);
         for at in (0..books.machine(machine).attempts.len()).rev() {
             if books.machine(machine).attempts[at].stop.is_some() {
                 books.drop_attempt(machine, at, 1001);
@@ -161,7 +164,7 @@
             books.add_job(&spec, number, now);
             scheduler::round(&mut books, now);
             for machine in 0..books.machines.len() as u32 {
-                let machine = dalelb::bookkeeping::books::MachineIx(machine);
+                let machine = MachineIx(machine);
                 for at in (0..books.machine(machine).attempts.len()).rev() {
                     let stopping = books.machine(machine).attempts[at].stop.is_some();
                     if stopping || rng.random_bool(0.1) {
@@ -387,3 +390,100 @@
     assert_eq!(scheduler::round(&mut books, 0), 9);
     assert_eq!(books.job(index).by_zone, [9, 0]);
 }
+
+/// A load in which arrays and services of two teams, with images, types of need and machines that
+/// are partly full, compete.
+fn crowded(seed: u64, machines: usize, jobs: u64, most: u32) -> Books {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut books = books((8.0, 0.0), (0.0, 0.0), machines);
+    for machine in &mut books.machines {
+        machine.spot = rng.random_bool(0.3);
+    }
+    for number in 1..=jobs {
+        let team = if rng.random_bool(0.5) { "red" } else { "blue" };
+        let mut spec = job(number, team, rng.random_range(1..=most), 1.0);
+        spec.cpus = f64::from(rng.random_range(1..5u32));
+        spec.image = format!("img-{}", rng.random_range(0..6));
+        spec.image_gb = 3.0;
+        spec.spot = rng.random_bool(0.7);
+        spec.one_zone = rng.random_bool(0.2);
+        if rng.random_bool(0.2) {
+            spec.kind = Kind::Service;
+            spec.class = "front".into();
+            spec.priority = Priority::Production;
+            spec.tasks = spec.tasks.min(16);
+            spec.spread = !spec.one_zone;
+        }
+        books.add_job(&spec, number, 0);
+    }
+    books
+}
+
+/// Equal tasks share one look at all machines; where they go is what a look for each would say.
+#[test]
+fn shared_looks_place_as_a_look_for_each_task_does() {
+    let places = |books: &Books| -> Vec<Vec<(JobId, u32)>> {
+        let on = |machine: &Machine| {
+            let attempts = machine.attempts.iter();
+            attempts.map(|a| (books.job(a.job).id, a.task)).collect()
+        };
+        books.machines.iter().map(on).collect()
+    };
+    for seed in 0..40 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let (mut shared, mut plain) = (crowded(seed, 12, 20, 20), crowded(seed, 12, 20, 20));
+        for now in (0..4000).step_by(40) {
+            scheduler::round(&mut shared, now);
+            scheduler::allocate(&mut plain, now, &mut Looks::plain());
+            assert_eq!(places(&shared), places(&plain), "seed {seed} at {now}");
+            for books in [&mut shared, &mut plain] {
+                run_all(books, now);
+            }
+            // Something ends, and something lingers on its machine although it is to run elsewhere.
+            let on = MachineIx(rng.random_range(0..12));
+            for _ in 0..rng.random_range(0..4) {
+                for books in [&mut shared, &mut plain] {
+                    if !books.machine(on).attempts.is_empty() {
+                        books.drop_attempt(on, 0, now);
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Six hundred machines, tens of thousands of tasks: what a round looks at grows with jobs and with
+/// the machines that they get, not with tasks that wait.
+#[test]
+fn a_round_looks_at_a_bounded_number_of_machines() {
+    let mut books = crowded(1, 600, 30, 4000);
+    let tasks: usize = books.jobs.iter().map(|job| job.tasks.len()).sum();
+    assert!(tasks > 20_000, "{tasks} tasks");
+    let mut total = 0;
+    for now in 0.. {
+        let waits = books.jobs.iter().filter(|job| !job.waiting.is_empty());
+        let (arrays, services): (Vec<_>, Vec<_>) = waits.partition(|job| job.kind == Kind::Array);
+        let replicas: usize = services.iter().map(|job| job.waiting.len()).sum();
+        let (jobs, teams) = (arrays.len() + services.len(), books.teams.len());
+        let mut looks = Looks::default();
+        let placed = scheduler::allocate(&mut books, now, &mut looks);
+        if placed == 0 {
+            break;
+        }
+        // All machines are looked at once for a job, once for each machine that it gets, and once
+        // when it finds no room; twice for a replica. Besides, each team's job at hand looks at
+        // what was filled since its last look.
+        let gets: usize = books
+            .machines
+            .iter()
+            .map(|machine| {
+                let fresh = machine.attempts.iter().filter(|a| a.placed_at == now);
+                fresh.map(|a| a.job).collect::<HashSet<_>>().len()
+            })
+            .sum();
+        let bound = (2 * jobs + gets + 2 * replicas.min(placed)) * 600 + teams * placed;
+        assert!(looks.count <= bound, "{} looks of {bound}", looks.count);
+        total += placed;
+    }
+    assert!(total > 3000, "{total} placed");
+}
