--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -113,6 +113,16 @@
     }
 }
 
+/// What became of a transaction of the leader's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Fate {
+    Stored(u64),
+    /// Surely not applied.
+    Refused,
+    /// Applied already, to be applied later, or never.
+    Doubtful,
+}
+
 impl Node {
     /// The time from which this node's rights count: both the lease and the view of the jobs were
     /// renewed by requests sent then or later. A renewed lease alone would not do: while the jobs
@@ -404,6 +414,7 @@
         if self.may_start() {
             self.schedule();
         }
+        self.recheck();
         self.flush();
         self.page();
         self.note_images();
@@ -517,15 +528,41 @@
         );
     }
 
-    pub(super) fn fence_answered(&mut self, lease: u64, result: Result<StateReply, StateError>) {
+    /// What became of a transaction of this leadership. `None`: it leads no more, as that very
+    /// answer may have told.
+    pub(super) fn fate(
+        &mut self,
+        lease: u64,
+        result: Result<StateReply, StateError>,
+    ) -> Option<Fate> {
         if !self.leads(lease) {
-            return;
+            return None;
         }
+        match result {
+            Ok(StateReply::Committed(version)) => Some(Fate::Stored(version)),
+            Ok(StateReply::Conflict(failed)) => {
+                if failed.iter().any(|key| key == store::LEADER) {
+                    tracing::warn!("a write found another leader");
+                    self.step_down();
+                    return None;
+                }
+                tracing::debug!(?failed, "conflict");
+                Some(Fate::Doubtful)
+            }
+            Err(StateError::NoAnswer) => Some(Fate::Doubtful),
+            _ => Some(Fate::Refused),
+        }
+    }
+
+    pub(super) fn fence_answered(&mut self, lease: u64, result: Result<StateReply, StateError>) {
+        let Some(fate) = self.fate(lease, result) else {
+            return;
+        };
         let Some(leading) = &mut self.leading else {
             return;
         };
-        match result {
-            Ok(StateReply::Committed(version)) => {
+        match fate {
+            Fate::Stored(version) => {
                 leading.fencing = false;
                 if version > leading.term_version {
                     leading.term += 1;
@@ -535,10 +572,7 @@
                 self.directory.term_version = leading.term_version;
                 tracing::info!(term = leading.term, "term raised as a fence");
             }
-            Ok(StateReply::Conflict(failed)) if failed.iter().any(|key| key == store::LEADER) => {
-                self.step_down()
-            }
-            Ok(StateReply::Conflict(_)) | Err(StateError::NoAnswer) => self.state(
+            Fate::Doubtful => self.state(
                 StateTag::FenceCheck { lease },
                 StateRequest::Get {
                     key: store::TERM.into(),
@@ -546,7 +580,7 @@
                 Urgency::Vital,
                 TXN_TIMEOUT,
             ),
-            _ => {
+            Fate::Refused => {
                 leading.fencing = false;
                 leading.fence_wanted = true;
             }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -192,9 +192,8 @@
     Release,
     Books { lease: u64 },
     Flush { lease: u64 },
-    SlotCheck { lease: u64, slot: u32 },
+    Check { lease: u64, doubt: notes::Doubt },
     Page { lease: u64 },
-    ChunkCheck { lease: u64, job: JobId, chunk: u32 },
     Fence { lease: u64 },
     FenceCheck { lease: u64 },
     Sweep { lease: u64, jobs: Vec<JobId> },
@@ -336,11 +335,8 @@
             StateTag::Release => {}
             StateTag::Books { lease } => self.books_read(lease, result),
             StateTag::Flush { lease } => self.flushed(lease, result),
-            StateTag::SlotCheck { lease, slot } => self.slot_checked(lease, slot, result),
+            StateTag::Check { lease, doubt } => self.checked(lease, doubt, result),
             StateTag::Page { lease } => self.paged(lease, result),
-            StateTag::ChunkCheck { lease, job, chunk } => {
-                self.chunk_checked(lease, job, chunk, result)
-            }
             StateTag::Fence { lease } => self.fence_answered(lease, result),
             StateTag::FenceCheck { lease } => self.fence_checked(lease, result),
             StateTag::Sweep { lease, jobs } => self.swept(lease, &jobs, result),
--- a/src/coordination/notes.rs
+++ b/src/coordination/notes.rs
@@ -8,7 +8,11 @@
 
 use std::collections::{BTreeSet, HashSet, VecDeque};
 
-use super::{Node, StateTag, directory::Entry, leader::TXN_TIMEOUT};
+use super::{
+    Node, StateTag,
+    directory::Entry,
+    leader::{Fate, TXN_TIMEOUT},
+};
 use crate::{
     bookkeeping::{
         Millis,
@@ -69,6 +73,22 @@
     covers: u64,
 }
 
+/// A key that may have been written without our knowing; it is not written again before we know.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Doubt {
+    Slot(u32),
+    Page(JobId, u32),
+}
+
+impl Doubt {
+    fn key(self) -> String {
+        match self {
+            Doubt::Slot(slot) => store::slot_key(slot),
+            Doubt::Page(job, chunk) => store::chunk_key(job, chunk),
+        }
+    }
+}
+
 /// How the notes stand with the store.
 pub struct Notes {
     slots: Vec<Slot>,
@@ -86,6 +106,8 @@
     swept_at: Millis,
     sweeping: Vec<JobId>,
     images_at: Millis,
+    /// Keys to ask for again, and when.
+    doubts: Vec<(Millis, Doubt)>,
 }
 
 impl Default for Notes {
@@ -105,6 +127,7 @@
             swept_at: 0,
             sweeping: Vec::new(),
             images_at: 0,
+            doubts: Vec::new(),
         }
     }
 }
@@ -315,9 +338,10 @@
     }
 
     pub(super) fn flushed(&mut self, lease: u64, result: Result<StateReply, StateError>) {
-        if !self.leads(lease) {
+        let lost = matches!(result, Err(StateError::NoAnswer));
+        let Some(fate) = self.fate(lease, result) else {
             return;
-        }
+        };
         let Some(leading) = &mut self.leading else {
             return;
         };
@@ -329,7 +353,7 @@
             books.jobs[job.at()].finishing = false;
         }
         let logged = std::mem::take(&mut books.logging);
-        if let Ok(StateReply::Committed(version)) = result {
+        if let Fate::Stored(version) = fate {
             books.attend(&logged);
             for entry in flush.entries {
                 notes.add_live(LiveEntry { version, ..entry });
@@ -347,61 +371,77 @@
             .into_iter()
             .filter(|(job, _)| !books.job(*job).closed);
         books.unlogged.extend(again.collect::<Vec<_>>());
-        let doubt = match &result {
-            Ok(StateReply::Conflict(failed)) => {
-                if failed.iter().any(|key| key == store::LEADER) {
-                    tracing::warn!("a write found another leader");
-                    return self.step_down();
-                }
-                tracing::debug!(?failed, "conflict");
-                true
-            }
-            Err(StateError::NoAnswer) => true,
-            _ => false,
-        };
-        let finals = !flush.finals.is_empty();
-        let lost = matches!(result, Err(StateError::NoAnswer));
         notes.flush_after = self.now + if lost { RETRY_LOST } else { RETRY };
-        for entry in flush.entries {
-            if doubt {
-                self.check_slot(lease, entry.slot);
-            } else if let Some(leading) = &mut self.leading {
-                leading.notes.slots[entry.slot as usize] = Slot::Free(entry.version);
+        if fate == Fate::Refused {
+            for entry in flush.entries {
+                notes.slots[entry.slot as usize] = Slot::Free(entry.version);
             }
+            return;
         }
-        if doubt && finals {
+        for entry in flush.entries {
+            self.check(lease, Doubt::Slot(entry.slot));
+        }
+        if !flush.finals.is_empty() {
             // Cancelled meanwhile, or done after all: the job's record tells.
             self.want_sync();
         }
     }
 
-    fn check_slot(&mut self, lease: u64, slot: u32) {
+    fn check(&mut self, lease: u64, doubt: Doubt) {
         self.state(
-            StateTag::SlotCheck { lease, slot },
-            StateRequest::Get {
-                key: store::slot_key(slot),
-            },
+            StateTag::Check { lease, doubt },
+            StateRequest::Get { key: doubt.key() },
             Urgency::Normal,
             TXN_TIMEOUT,
         );
     }
 
-    pub(super) fn slot_checked(
+    pub(super) fn checked(
         &mut self,
         lease: u64,
-        slot: u32,
+        doubt: Doubt,
         result: Result<StateReply, StateError>,
     ) {
         if !self.leads(lease) {
             return;
         }
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
         let version = match result {
             Ok(StateReply::Row(row)) => row.version,
             Ok(StateReply::Missing) => 0,
-            _ => return self.check_slot(lease, slot),
+            // Refusals come back at once: asked again at once, each doubt would be a request after
+            // the other for as long as the store is away.
+            _ => {
+                let again = self.now + RETRY_LOST;
+                return leading.notes.doubts.push((again, doubt));
+            }
+        };
+        match (doubt, &mut leading.books) {
+            (Doubt::Slot(slot), _) => leading.notes.slots[slot as usize] = Slot::Free(version),
+            (Doubt::Page(job, chunk), Some(books)) => {
+                if let Some(&index) = books.job_index.get(&job) {
+                    let stands = &mut books.jobs[index.at()].chunks[chunk as usize];
+                    stands.version = version;
+                    stands.in_flight = false;
+                }
+            }
+            (Doubt::Page(..), None) => {}
+        }
+    }
+
+    /// Asks again for keys whose state could not be had.
+    pub(super) fn recheck(&mut self) {
+        let Some(leading) = &mut self.leading else {
+            return;
         };
-        if let Some(leading) = &mut self.leading {
-            leading.notes.slots[slot as usize] = Slot::Free(version);
+        let (now, lease) = (self.now, leading.lease);
+        let doubts = &mut leading.notes.doubts;
+        let due: Vec<Doubt> = doubts.iter().filter(|d| d.0 <= now).map(|d| d.1).collect();
+        doubts.retain(|(at, _)| *at > now);
+        for doubt in due {
+            self.check(lease, doubt);
         }
     }
 
@@ -497,34 +537,25 @@
     }
 
     pub(super) fn paged(&mut self, lease: u64, result: Result<StateReply, StateError>) {
-        if !self.leads(lease) {
+        let Some(fate) = self.fate(lease, result) else {
             return;
-        }
+        };
         let Some(leading) = &mut self.leading else {
             return;
         };
-        let Some(paging) = leading.notes.paging.take() else {
+        let (Some(paging), Some(books)) = (leading.notes.paging.take(), &mut leading.books) else {
             return;
         };
-        let doubt = match &result {
-            Ok(StateReply::Conflict(failed)) if failed.iter().any(|key| key == store::LEADER) => {
-                tracing::warn!("a write found another leader");
-                return self.step_down();
+        if fate == Fate::Doubtful {
+            for (_, id, chunk) in paging.pages {
+                self.check(lease, Doubt::Page(id, chunk));
             }
-            Ok(StateReply::Conflict(_)) | Err(StateError::NoAnswer) => true,
-            _ => false,
-        };
-        for (job, id, chunk) in paging.pages {
-            if doubt {
-                self.check_chunk(lease, id, chunk);
-                continue;
-            }
-            let Some(books) = self.leading.as_mut().and_then(|l| l.books.as_mut()) else {
-                return;
-            };
+            return;
+        }
+        for (job, _, chunk) in paging.pages {
             let stands = &mut books.jobs[job.at()].chunks[chunk as usize];
             stands.in_flight = false;
-            if let Ok(StateReply::Committed(version)) = result {
+            if let Fate::Stored(version) = fate {
                 stands.version = version;
                 stands.paged = paging.covers;
             }
@@ -564,43 +595,6 @@
         }
     }
 
-    /// A page's version is in doubt; it is written again once that is known.
-    fn check_chunk(&mut self, lease: u64, job: JobId, chunk: u32) {
-        self.state(
-            StateTag::ChunkCheck { lease, job, chunk },
-            StateRequest::Get {
-                key: store::chunk_key(job, chunk),
-            },
-            Urgency::Normal,
-            TXN_TIMEOUT,
-        );
-    }
-
-    pub(super) fn chunk_checked(
-        &mut self,
-        lease: u64,
-        job: JobId,
-        chunk: u32,
-        result: Result<StateReply, StateError>,
-    ) {
-        if !self.leads(lease) {
-            return;
-        }
-        let version = match result {
-            Ok(StateReply::Row(row)) => row.version,
-            Ok(StateReply::Missing) => 0,
-            _ => return self.check_chunk(lease, job, chunk),
-        };
-        let Some(books) = self.leading.as_mut().and_then(|l| l.books.as_mut()) else {
-            return;
-        };
-        if let Some(&index) = books.job_index.get(&job) {
-            let stands = &mut books.jobs[index.at()].chunks[chunk as usize];
-            stands.version = version;
-            stands.in_flight = false;
-        }
-    }
-
     /// Removes the notes on jobs that are over and of which nothing can be running.
     pub(super) fn sweep(&mut self) {
         let ops = self.config.settings.state.txn_ops as usize;
@@ -676,9 +670,9 @@
         jobs: &[JobId],
         result: Result<StateReply, StateError>,
     ) {
-        if !self.leads(lease) {
+        let Some(fate) = self.fate(lease, result) else {
             return;
-        }
+        };
         let Some(leading) = &mut self.leading else {
             return;
         };
@@ -686,44 +680,38 @@
         let Some(books) = &mut leading.books else {
             return;
         };
-        match result {
-            Ok(StateReply::Committed(_)) => {
-                let ops = self.config.settings.state.txn_ops as usize;
-                let mut left = ops;
-                for id in jobs {
-                    if let Some(&index) = books.job_index.get(id) {
-                        for chunk in &mut books.jobs[index.at()].chunks {
-                            if chunk.version > 0 && left > 0 {
-                                chunk.version = 0;
-                                left -= 1;
-                            }
+        let known = jobs
+            .iter()
+            .filter_map(|id| Some((*id, *books.job_index.get(id)?)));
+        let known: Vec<(JobId, JobIx)> = known.collect();
+        match fate {
+            Fate::Stored(_) => {
+                let mut left = self.config.settings.state.txn_ops;
+                for (_, index) in known {
+                    for chunk in &mut books.jobs[index.at()].chunks {
+                        if chunk.version > 0 && left > 0 {
+                            chunk.version = 0;
+                            left -= 1;
                         }
                     }
                 }
             }
-            Ok(StateReply::Conflict(failed)) if failed.iter().any(|key| key == store::LEADER) => {
-                self.step_down()
-            }
-            Ok(StateReply::Conflict(_)) | Err(StateError::NoAnswer) => {
-                // Deleted after all, or a late write of our own came in between.
-                let doubtful: Vec<(JobId, u32)> = jobs
-                    .iter()
-                    .filter_map(|id| Some((*id, *books.job_index.get(id)?)))
-                    .flat_map(|(id, index)| {
-                        (0..books.job(index).chunks.len() as u32).map(move |n| (id, n))
-                    })
-                    .collect();
-                for (id, number) in doubtful {
-                    if let Some(books) = self.leading.as_mut().and_then(|l| l.books.as_mut())
-                        && let Some(&index) = books.job_index.get(&id)
-                        && books.job(index).chunks[number as usize].version > 0
-                    {
-                        books.jobs[index.at()].chunks[number as usize].in_flight = true;
-                        self.check_chunk(lease, id, number);
+            // Deleted after all, or a late write of our own came in between.
+            Fate::Doubtful => {
+                let mut doubts = Vec::new();
+                for (id, index) in known {
+                    for (chunk, number) in books.jobs[index.at()].chunks.iter_mut().zip(0..) {
+                        if chunk.version > 0 {
+                            chunk.in_flight = true;
+                            doubts.push(Doubt::Page(id, number));
+                        }
                     }
                 }
+                for doubt in doubts {
+                    self.check(lease, doubt);
+                }
             }
-            _ => {}
+            Fate::Refused => {}
         }
     }
 }
