--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -107,9 +107,12 @@
     Tick(usize),
     ToNode(usize, u64, Box<Command>),
     AtStore(usize, u64, u64, Box<(coordination::Tag, StateRequest)>),
+    /// From a node in its life, with a ticket for the answer, to a worker.
     ToWorker(
         usize,
         u64,
+        u64,
+        usize,
         Box<(coordination::Worker, Option<DirectOrders>)>,
     ),
     ReportAt(usize, usize, Box<Report>, u64),
@@ -171,6 +174,7 @@
     /// Chance that a command to a worker is late, though within its sender's patience.
     late_orders: f64,
     faults: bool,
+    leader: Option<usize>,
 }
 
 impl World {
@@ -202,6 +206,7 @@
             trace: DefaultHasher::new(),
             late_orders: [0.0, 0.1, 0.4][(seed / 3) as usize % 3],
             faults: true,
+            leader: None,
         };
         for index in 0..4 {
             world.machine(["a", "b"][index % 2], index == 3);
@@ -357,11 +362,8 @@
                     0
                 };
                 if let Some(time) = self.arrival(cut).map(|time| time + slower) {
-                    let whom = (at as u64) << 40 | ticket;
-                    self.at(
-                        time,
-                        What::ToWorker(index, life << 48 | whom, Box::new((tag, orders))),
-                    );
+                    let packet = Box::new((tag, orders));
+                    self.at(time, What::ToWorker(index, life, ticket, at, packet));
                 }
             }
             Effect::Answer(id, answer) => self.answer(index, life, id, answer),
@@ -408,7 +410,11 @@
                     self.at(time, What::Relay(index, life, other, id, Box::new(ask)));
                 }
             }
-            Effect::Leading(_) => {}
+            Effect::Leading(leads) => {
+                if leads {
+                    self.leader = Some(index);
+                }
+            }
         }
     }
 
@@ -778,11 +784,10 @@
         self.step(index, life, Command::Ask(self.next_ask, ask));
     }
 
-    fn submit(&mut self, number: u64) {
-        let id = JobId(number);
+    fn some_job(&mut self, number: u64) -> Submission {
         let service = self.rng.random_bool(0.3);
-        let spec = Submission {
-            id,
+        Submission {
+            id: JobId(number),
             class: "any".into(),
             team: if self.rng.random_bool(0.5) {
                 "red"
@@ -811,7 +816,11 @@
             checkpoint_s: 0.0,
             save_s: 0.0,
             deadline_s: None,
-        };
+        }
+    }
+
+    fn submit(&mut self, spec: Submission) {
+        let id = spec.id;
         let told = Told {
             accepted: false,
             cancelled_at: None,
@@ -822,6 +831,29 @@
         self.ask(id, Ask::Submit(Box::new(spec)));
     }
 
+    /// An array without a limit to its team, so long that it outlives the test.
+    fn long_array(&mut self, number: u64, tasks: u32) -> Submission {
+        Submission {
+            team: "blue".into(),
+            kind: Kind::Array,
+            spread: false,
+            priority: Priority::Normal,
+            tasks,
+            estimate_s: 600.0,
+            ..self.some_job(number)
+        }
+    }
+
+    /// Tasks that run, each with its attempt and the machine.
+    fn running(&self) -> BTreeMap<TaskId, (u64, usize)> {
+        let all = self.workers.iter().enumerate();
+        let tasks = all.flat_map(|(at, worker)| worker.tasks.iter().map(move |t| (at, t)));
+        tasks
+            .filter(|(_, (_, on))| on.state == TaskState::Running)
+            .map(|(at, (task, on))| (*task, (on.attempt, at)))
+            .collect()
+    }
+
     fn fault(&mut self) {
         let index = self.rng.random_range(0..NODES);
         let until = self.now + self.rng.random_range(2000..30_000);
@@ -930,9 +962,7 @@
                     }
                 }
             }
-            What::ToWorker(index, tag, packet) => {
-                let (life, at) = (tag >> 48, (tag >> 40 & 0xff) as usize);
-                let ticket = tag & 0xff_ffff_ffff;
+            What::ToWorker(index, life, ticket, at, packet) => {
                 let (tag, orders) = *packet;
                 self.live(at);
                 if self.workers[at].gone {
@@ -1141,7 +1171,8 @@
         world.run_until((second + 1) * 1000);
         if second % 4 == 0 {
             number += 1;
-            world.submit(number);
+            let spec = world.some_job(number);
+            world.submit(spec);
         }
         let ids: Vec<JobId> = world.jobs.keys().copied().collect();
         for id in ids {
@@ -1254,3 +1285,36 @@
         assert_eq!(play(seed).1, play(seed).1, "seed {seed}");
     }
 }
+
+/// The leader of 571 machines with 2000 tasks ends. Its successor reads the notes, asks all machines
+/// and places again before any worker's lease runs out, and what ran runs on. Also where the store
+/// takes four small values at a time.
+#[test]
+fn a_successor_takes_a_large_fleet_over() {
+    for seed in [0, 1] {
+        let mut world = World::new(seed);
+        world.faults = false;
+        while world.workers.len() < 571 {
+            let zone = ["a", "b"][world.workers.len() % 2];
+            world.machine(zone, false);
+        }
+        world.run_until(5000);
+        for number in 1..=40 {
+            let spec = world.long_array(number, 50);
+            world.submit(spec);
+        }
+        world.run_until(30_000);
+        let before = world.running();
+        assert_eq!(before.len(), 2000, "seed {seed}");
+        world.crash(world.leader.expect("a node leads"));
+        let spec = world.long_array(41, 200);
+        world.submit(spec);
+        world.run_until(30_000 + LEASE_MS);
+        let after = world.running();
+        for (task, on) in &before {
+            assert_eq!(after.get(task), Some(on), "{task}, seed {seed}");
+        }
+        assert_eq!(after.len(), 2200, "seed {seed}");
+        assert!(world.workers.iter().all(|worker| worker.session == 1));
+    }
+}
