A deputy renews a busy worker before it sends it on to the leader

A worker whose node had just started again was sent to a leader that it could not reach, and its lease ran out on the way there and back (5 s for each node tried in vain). A node now renews first, unless it did so in the last 5 s, and a worker counts as come back for as long as it may need to try all other nodes.

--- a/src/coordination/deputy.rs
+++ b/src/coordination/deputy.rs
@@ -39,8 +39,10 @@
 /// A question older than this has been given up by the leader. Held back by a cut, it may be about
 /// machines that have long been heard again.
 const STALE_QUESTION: u64 = 2500;
-/// A worker that comes back this soon after it was sent to the leader did not get through.
-const BOUNCE: Millis = 9000;
+/// What a worker spends on a node that it can't reach before it tries the next, by the protocol.
+const UNREACHED: Millis = 5000;
+/// A worker renewed this lately can be sent to the leader: it has the time to come back.
+const FRESH: Millis = 5000;
 
 #[derive(Default)]
 pub struct Deputy {
@@ -185,22 +187,28 @@
             .deputy
             .leader_heard
             .is_some_and(|at| at + LEADER_SILENT > now);
-        let bounced = self
-            .deputy
-            .sent_on
-            .get(&report.machine)
-            .is_some_and(|at| at + BOUNCE > now);
+        // A worker that comes back this soon after it was sent to the leader did not get through. On
+        // its way back it may have tried all other nodes in vain.
+        let bounce = UNREACHED * self.config.members.len() as Millis + 1000;
+        let sent_on = self.deputy.sent_on.get(&report.machine).copied();
+        let bounced = sent_on.is_some_and(|at| at + bounce > now);
         if leader.is_some() && heard && !bounced {
+            // Nothing is known of how long its lease has left: one that has just found this node,
+            // started anew inside a cut, would lose its tasks on the way to the leader and back.
+            let busy = report.tasks.iter().any(|t| t.state != TaskState::Ended);
+            let known = self.deputy.renewed.get(&report.machine);
+            let fresh = known.is_some_and(|(at, _)| at + FRESH > now);
+            if busy
+                && !fresh
+                && let Some(orders) = self.renew(report)
+            {
+                return self.answer(id, Answer::with(200, &orders));
+            }
             self.deputy.sent_on.insert(report.machine.clone(), now);
             return self.answer(id, Answer::with(421, &Redirect { leader }));
         }
         // Every so often it is sent on again: the way may be open by now.
-        if self
-            .deputy
-            .sent_on
-            .get(&report.machine)
-            .is_some_and(|at| at + BOUNCE <= now)
-        {
+        if !bounced {
             self.deputy.sent_on.remove(&report.machine);
         }
         match self.renew(report) {
@@ -295,7 +303,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::config::Config;
+    use crate::{bookkeeping::store::LeaderRecord, config::Config, protocol::worker::TaskReport};
 
     const START: Millis = 100_000;
     const WALL: u64 = 1_700_000_000_000;
@@ -303,6 +311,8 @@
     fn deputy(now: Millis) -> Node {
         let config: Config = serde_json::from_value(serde_json::json!({
             "label": "n0", "domain": "a", "listen": "127.0.0.1:1", "mesh_addr": "127.0.0.1:2",
+            "members": [{"label": "n1", "domain": "b", "address": "127.0.0.1:5"},
+                        {"label": "n2", "domain": "b", "address": "127.0.0.1:6"}],
             "services": {"cloud": "127.0.0.1:3", "state": "127.0.0.1:4"},
             "settings": {
                 "zones": ["a"], "teams": [{"name": "red"}], "clock_error_ms": 100.0,
@@ -339,8 +349,8 @@
         }
     }
 
-    fn renews(node: &mut Node) -> bool {
-        let report = Report {
+    fn report(tasks: Vec<TaskReport>) -> Report {
+        Report {
             machine: "vm-1".into(),
             addr: "10.0.0.1:1".into(),
             type_name: "c16".into(),
@@ -350,9 +360,12 @@
             seq: 1,
             token: 3,
             notice_s: None,
-            tasks: Vec::new(),
-        };
-        node.renew(&report).is_some()
+            tasks,
+        }
+    }
+
+    fn renews(node: &mut Node) -> bool {
+        node.renew(&report(Vec::new())).is_some()
     }
 
     /// A cut held questions back for half a minute; taken for new ones, they let thirteen machines
@@ -369,4 +382,49 @@
         assert_eq!(ask(&mut node, START - 30_000), 0, "a late question");
         assert!(renews(&mut node));
     }
+
+    /// The status that a report is answered with at a time.
+    fn answered(node: &mut Node, report: &Report, now: Millis) -> u16 {
+        at(node, now);
+        node.deputy.leader_heard = Some(now);
+        node.check_in_as_deputy(1, report);
+        match node.out.pop() {
+            Some(Effect::Answer(_, answer)) => answer.status,
+            other => panic!("no answer but {other:?}"),
+        }
+    }
+
+    /// A node was started anew inside a cut: each worker's first report there was sent on to the
+    /// leader, which it could not reach, and its lease ran out on the way.
+    #[test]
+    fn a_busy_worker_is_renewed_before_it_is_sent_to_the_leader() {
+        let mut node = deputy(START);
+        let leader = LeaderRecord {
+            node: "n1".into(),
+            lease: 1,
+            term: 3,
+        };
+        node.directory.leader = Some((leader, 1));
+        assert_eq!(answered(&mut node, &report(Vec::new()), START), 421, "idle");
+        node.deputy.sent_on.clear();
+        let busy = report(vec![TaskReport {
+            task: "j-000001/0".parse().expect("a task"),
+            attempt: 1,
+            state: TaskState::Running,
+            cause: None,
+            saved: None,
+        }]);
+        // It is renewed, sent on with most of its lease left, renewed when it comes back, and so on.
+        let steps = [
+            (0, 200),
+            (2500, 421),
+            (8000, 200),
+            (10_500, 200),
+            (13_600, 421),
+        ];
+        for (after, status) in steps {
+            let found = answered(&mut node, &busy, START + after);
+            assert_eq!(found, status, "{after} ms after the first");
+        }
+    }
 }
