A /metrics page: leadership, entitlement, queues, start waits, backlog, errors, passes

With prometheus-client. The owner is looked at once a second by a pure function; errors and the owner's passes are counted where they happen; text is made when somebody asks, on the listener that there is. The end-to-end test reads it from the leader.

--- a/src/bookkeeping/books.rs
+++ b/src/bookkeeping/books.rs
@@ -406,6 +406,8 @@
     pub jobs: Vec<Job>,
     pub free_jobs: Vec<JobIx>,
     pub job_index: BTreeMap<JobId, JobIx>,
+    /// How long tasks had waited that started since this was last taken.
+    pub start_waits: Vec<Millis>,
     pub machines: Vec<Machine>,
     pub machine_index: HashMap<String, MachineIx>,
     /// What predecessors knew of machines' images, until the machines are entered.
@@ -464,6 +466,7 @@
             jobs: Vec::new(),
             free_jobs: Vec::new(),
             job_index: BTreeMap::new(),
+            start_waits: Vec::new(),
             machines: Vec::new(),
             machine_index: HashMap::new(),
             remembered: HashMap::new(),
--- a/src/coordination/deputy.rs
+++ b/src/coordination/deputy.rs
@@ -161,17 +161,19 @@
         }
     }
 
-    /// Whether this node may answer reports with 200: its key surely is there, and a cancellation
+    /// Until when this node may answer reports with 200: its key surely is there, and a cancellation
     /// told elsewhere just after the last sync can still be carried out in time by letting the
     /// leases run out.
-    pub(super) fn may_renew(&self) -> bool {
+    pub(super) fn renews_until(&self) -> Option<Millis> {
         let workers = &self.config.settings.workers;
         let allowance = (workers.cancel_s - workers.lease_s) * (1.0 - DRIFT) - 1.5;
-        let held = self.deputy.held && self.now + 500 < self.deputy.ok + LIFE;
-        held && self
-            .sync
-            .ok
-            .is_some_and(|ok| self.now < ok + millis(allowance.max(0.0)))
+        let synced = self.sync.ok.filter(|_| self.deputy.held)?;
+        let until = synced + millis(allowance.max(0.0));
+        Some(until.min((self.deputy.ok + LIFE).saturating_sub(500)))
+    }
+
+    pub(super) fn may_renew(&self) -> bool {
+        self.renews_until().is_some_and(|until| self.now < until)
     }
 
     /// A report came to a node that does not lead.
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -529,6 +529,7 @@
         if phase == Phase::Running && before < Phase::Running {
             let attempt = &books.machine(on).attempts[at];
             let job = books.job(attempt.job);
+            let wait = now.saturating_sub(job.seen_at);
             tracing::debug!(
                 task = %listed.task,
                 attempt = listed.attempt,
@@ -537,6 +538,7 @@
                 start_ms = now.saturating_sub(attempt.placed_at),
                 "runs"
             );
+            books.start_waits.push(wait);
         }
     }
     for at in (0..shown.len()).rev() {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -9,6 +9,7 @@
 mod leader;
 mod notes;
 mod renting;
+mod status;
 mod takeover;
 mod users;
 
@@ -16,6 +17,7 @@
 
 pub use directory::Directory;
 pub use leader::Leading;
+pub use status::Status;
 
 use crate::{
     bookkeeping::Millis,
--- /dev/null
+++ b/src/coordination/status.rs
@@ -0,0 +1,67 @@
+//! What a node says of itself to whoever watches it.
+
+use super::Node;
+use crate::bookkeeping::{Millis, books::MachineState};
+
+/// A look at the owner; what only a leader knows is empty elsewhere.
+#[derive(Clone, Debug, Default)]
+pub struct Status {
+    pub leading: bool,
+    pub term: u64,
+    /// How long workers may still be renewed without another sync.
+    pub entitlement_ms: Millis,
+    /// Each team's waiting tasks and booked units.
+    pub teams: Vec<(String, usize, f64)>,
+    /// How many machines there are in each state.
+    pub machines: Vec<(&'static str, usize)>,
+    /// Tasks whose last change is not stored yet.
+    pub unwritten: usize,
+    /// What the tasks that started since the last look had waited for.
+    pub start_waits: Vec<Millis>,
+}
+
+impl Node {
+    pub fn status(&mut self) -> Status {
+        let until = self.renews_until().unwrap_or(0);
+        let mut status = Status {
+            term: self.directory.term,
+            entitlement_ms: until.saturating_sub(self.now),
+            ..Status::default()
+        };
+        let Some(leading) = &mut self.leading else {
+            return status;
+        };
+        status.leading = true;
+        let Some(books) = &mut leading.books else {
+            return status;
+        };
+        status.unwritten = books.unlogged.len() + books.logging.len();
+        status.start_waits = std::mem::take(&mut books.start_waits);
+        status.teams = books
+            .teams
+            .iter()
+            .map(|team| {
+                let queue = team.queue.iter();
+                let waiting = queue.map(|&(_, _, job)| books.job(job).waiting.len()).sum();
+                (team.name.clone(), waiting, books.units(&team.booked))
+            })
+            .collect();
+        let states = [
+            ("booting", MachineState::Booting),
+            ("up", MachineState::Up),
+            ("lost", MachineState::Lost),
+            ("deleting", MachineState::Deleting),
+        ];
+        status.machines = states
+            .into_iter()
+            .map(|(name, state)| {
+                let machines = books.machines.iter();
+                (
+                    name,
+                    machines.filter(|machine| machine.state == state).count(),
+                )
+            })
+            .collect();
+        status
+    }
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::HashMap,
     rc::Rc,
+    sync::Arc,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
@@ -16,6 +17,7 @@
 use crate::{
     config::Config,
     coordination::{Answer, Ask, AskId, Command, Effect, Node, Now, Renewal, Revocation},
+    metrics::Metrics,
     protocol::{
         cloud::{CloudError, CloudRequest},
         state::{StateError, StateRequest, Urgency},
@@ -29,6 +31,8 @@
 
 /// How often the owner looks at the time when nothing else happens.
 const TICK: Duration = Duration::from_millis(50);
+/// How often the owner is asked what the metrics show.
+const WATCHED: Duration = Duration::from_secs(1);
 /// Commands worked through at once.
 const BATCH: usize = 256;
 /// What is kept free of the services' limits, for clocks that differ.
@@ -78,7 +82,8 @@
     let sockets = f64::from(config.settings.limits.sockets);
     let connections = (sockets * DOOR_SHARE) as usize;
     let relayed = door.clone();
-    tokio::spawn(server::serve(listener, door, connections));
+    let metrics = Arc::new(Metrics::default());
+    tokio::spawn(server::serve(listener, door, connections, metrics.clone()));
     let mesh_addr = config.mesh_addr;
     let to_owner = commands.clone();
     tokio::spawn(async move {
@@ -96,7 +101,7 @@
             tokio::time::sleep(Duration::from_secs(1)).await;
         }
     });
-    let io = Rc::new(Io::new(&config, commands));
+    let io = Rc::new(Io::new(&config, commands, metrics));
     own(Node::new(config), io, queue, asked, questioned).await;
     Ok(())
 }
@@ -116,6 +121,7 @@
     let mut next_ask: AskId = 0;
     let mut batch = Vec::with_capacity(BATCH);
     let mut asks = Vec::with_capacity(BATCH);
+    let mut watched_at = Instant::now();
     loop {
         tokio::select! {
             biased;
@@ -139,7 +145,14 @@
                 .duration_since(UNIX_EPOCH)
                 .map_or(0, |since| since.as_millis() as u64),
         };
-        for effect in node.step(batch.drain(..), now) {
+        let began = Instant::now();
+        let effects = node.step(batch.drain(..), now);
+        io.metrics.passed(began.elapsed());
+        if began >= watched_at + WATCHED {
+            watched_at = began;
+            io.metrics.record(node.status(), queue.len() + asked.len());
+        }
+        for effect in effects {
             match effect {
                 Effect::Answer(id, answer) => {
                     if let Some(waiting) = answers.remove(&id) {
@@ -162,6 +175,7 @@
 struct Io {
     began: Instant,
     owner: mpsc::UnboundedSender<Command>,
+    metrics: Arc<Metrics>,
     state: StateClient,
     cloud: CloudClient,
     workers: WorkerClient,
@@ -196,7 +210,7 @@
 }
 
 impl Io {
-    fn new(config: &Config, owner: mpsc::UnboundedSender<Command>) -> Self {
+    fn new(config: &Config, owner: mpsc::UnboundedSender<Command>, metrics: Arc<Metrics>) -> Self {
         let limits = Limits {
             nodes: config.members.len() as f64 + 1.0,
             rps: config.settings.state.rps,
@@ -212,6 +226,7 @@
         Io {
             began: Instant::now(),
             owner,
+            metrics,
             state: StateClient::new(config.services.state),
             cloud: CloudClient::new(config.services.cloud),
             workers: WorkerClient::new((sockets * WORKERS_SHARE).max(1.0) as usize),
@@ -338,6 +353,7 @@
         let sent_at = self.now();
         let result = self.state.call(&request, timeout).await;
         if let Err(error) = &result {
+            self.metrics.state_failed(error);
             tracing::debug!(?request, %error, "state service");
         }
         (sent_at, result)
@@ -354,6 +370,7 @@
             .call(&request, Duration::from_millis(timeout_ms))
             .await;
         if let Err(error) = &result {
+            self.metrics.cloud_failed(error);
             tracing::debug!(?request, ?error, "cloud");
         }
         result
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod config;
 pub mod coordination;
 pub mod daemon;
+pub mod metrics;
 pub mod protocol;
 pub mod transport;
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,183 @@
+//! What a node tells of itself on `/metrics`, as OpenMetrics text.
+//!
+//! The owner is looked at once a second; counting errors and passes costs a few additions. Nothing is
+//! rendered until somebody asks.
+
+use std::{
+    sync::atomic::{AtomicI64, AtomicU64},
+    time::Duration,
+};
+
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+    registry::{Registry, Unit},
+};
+
+use crate::{
+    coordination::Status,
+    protocol::{cloud::CloudError, state::StateError},
+};
+
+/// Media type of what [`Metrics::text`] returns.
+pub const MEDIA_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Call {
+    service: &'static str,
+    error: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Team {
+    team: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct State {
+    state: &'static str,
+}
+
+type Amount = Gauge<f64, AtomicU64>;
+type Count = Gauge<i64, AtomicI64>;
+
+/// A node's metrics and their registry.
+pub struct Metrics {
+    registry: Registry,
+    errors: Family<Call, Counter>,
+    passes: Histogram,
+    queue: Count,
+    leading: Count,
+    term: Count,
+    entitlement: Amount,
+    waiting: Family<Team, Count>,
+    booked: Family<Team, Amount>,
+    machines: Family<State, Count>,
+    unwritten: Count,
+    start_waits: Histogram,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let passes = [
+            0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1.0,
+        ];
+        let waits = [0.5, 1.0, 2.0, 4.0, 8.0, 15.0, 30.0, 60.0, 120.0, 300.0];
+        let mut metrics = Metrics {
+            registry: Registry::with_prefix("dalelb"),
+            errors: Family::default(),
+            passes: Histogram::new(passes),
+            queue: Count::default(),
+            leading: Count::default(),
+            term: Count::default(),
+            entitlement: Amount::default(),
+            waiting: Family::default(),
+            booked: Family::default(),
+            machines: Family::default(),
+            unwritten: Count::default(),
+            start_waits: Histogram::new(waits),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl Metrics {
+    fn register(&mut self) {
+        let all = &mut self.registry;
+        all.register("errors", "Calls that failed", self.errors.clone());
+        all.register_with_unit(
+            "pass",
+            "The owner's passes over a batch of commands, rounds included",
+            Unit::Seconds,
+            self.passes.clone(),
+        );
+        all.register(
+            "queue",
+            "Commands that wait for the owner",
+            self.queue.clone(),
+        );
+        all.register("leading", "1 on the leader", self.leading.clone());
+        all.register("term", "The term that this node knows", self.term.clone());
+        all.register_with_unit(
+            "entitlement",
+            "How long this node may still renew workers' leases",
+            Unit::Seconds,
+            self.entitlement.clone(),
+        );
+        all.register(
+            "tasks_waiting",
+            "Tasks without a place",
+            self.waiting.clone(),
+        );
+        all.register("booked", "Booked units of each team", self.booked.clone());
+        all.register("machines", "Machines by state", self.machines.clone());
+        all.register(
+            "tasks_unwritten",
+            "Tasks whose last change is not in the state service yet",
+            self.unwritten.clone(),
+        );
+        all.register_with_unit(
+            "start_wait",
+            "From a job's arrival to the start of each of its tasks",
+            Unit::Seconds,
+            self.start_waits.clone(),
+        );
+    }
+
+    pub fn state_failed(&self, error: &StateError) {
+        let error = match error {
+            StateError::NoAnswer => "no_answer",
+            _ => "refused",
+        };
+        let service = "state";
+        self.errors.get_or_create(&Call { service, error }).inc();
+    }
+
+    pub fn cloud_failed(&self, error: &CloudError) {
+        let error = match error {
+            CloudError::NoAnswer => "no_answer",
+            _ => "refused",
+        };
+        let service = "cloud";
+        self.errors.get_or_create(&Call { service, error }).inc();
+    }
+
+    /// The owner took `time` for a batch.
+    pub fn passed(&self, time: Duration) {
+        self.passes.observe(time.as_secs_f64());
+    }
+
+    /// Takes over what the owner says of itself.
+    pub fn record(&self, status: Status, queue: usize) {
+        self.queue.set(queue as i64);
+        self.leading.set(i64::from(status.leading));
+        self.term.set(status.term as i64);
+        self.entitlement.set(status.entitlement_ms as f64 / 1000.0);
+        self.unwritten.set(status.unwritten as i64);
+        // A node that leads no more has nothing to tell of these.
+        self.waiting.clear();
+        self.booked.clear();
+        self.machines.clear();
+        for (team, waiting, booked) in status.teams {
+            let team = Team { team };
+            self.waiting.get_or_create(&team).set(waiting as i64);
+            self.booked.get_or_create(&team).set(booked);
+        }
+        for (state, machines) in status.machines {
+            let state = State { state };
+            self.machines.get_or_create(&state).set(machines as i64);
+        }
+        for wait in status.start_waits {
+            self.start_waits.observe(wait as f64 / 1000.0);
+        }
+    }
+
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        if let Err(error) = encode(&mut text, &self.registry) {
+            tracing::warn!(%error, "metrics");
+        }
+        text
+    }
+}
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     coordination::{Answer, Ask},
+    metrics::{self, Metrics},
     protocol::{self, MAX_BODY, ids::JobId, job::Submission, worker::Report},
 };
 
@@ -84,6 +85,13 @@
     }
 }
 
+fn shown(metrics: &Metrics) -> Response<Bytes> {
+    let mut response = Response::new(Bytes::from(metrics.text()));
+    let media_type = http::HeaderValue::from_static(metrics::MEDIA_TYPE);
+    response.headers_mut().insert("content-type", media_type);
+    response
+}
+
 async fn unroutable(rejection: Rejection) -> Result<Response<Bytes>, Infallible> {
     if rejection.find::<warp::reject::PayloadTooLarge>().is_some()
         || rejection.find::<warp::reject::LengthRequired>().is_some()
@@ -99,7 +107,7 @@
 const IDLE: Duration = Duration::from_secs(15);
 
 /// Serves requests until the process ends, over at most `connections` connections.
-pub async fn serve(listener: TcpListener, door: Door, connections: usize) {
+pub async fn serve(listener: TcpListener, door: Door, connections: usize, metrics: Arc<Metrics>) {
     let with_door = warp::any().map(move || door.clone());
     let body = || warp::body::content_length_limit(MAX_BODY).and(warp::body::bytes());
     let submit = with_door
@@ -128,6 +136,9 @@
         .and(warp::path!("ready"))
         .and(warp::get())
         .and_then(|door| ask(door, Ask::Ready));
+    let metrics = warp::path!("metrics")
+        .and(warp::get())
+        .map(move || shown(&metrics));
     let routes = check_in
         .or(poll)
         .unify()
@@ -137,6 +148,8 @@
         .unify()
         .or(ready)
         .unify()
+        .or(metrics)
+        .unify()
         .recover(unroutable);
     let service = TowerToHyperService::new(warp::service(routes));
     let mut http = http1::Builder::new();
--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -483,6 +483,24 @@
     })
     .await;
 
+    // What the leader tells its operators: it leads, tasks have started, nobody is short of time.
+    until("metrics", || {
+        let answer = call(Method::GET, 0, "/metrics".into(), Vec::new());
+        async move {
+            let text = String::from_utf8(answer.await?.1.to_vec()).ok()?;
+            let value = |name: &str| -> Option<f64> {
+                let mut lines = text.lines();
+                lines.find_map(|line| line.strip_prefix(name)?.trim().parse().ok())
+            };
+            assert!(text.ends_with("# EOF\n"), "{text}");
+            (value("dalelb_leading")? == 1.0).then_some(())?;
+            (value("dalelb_start_wait_seconds_count")? >= 3.0).then_some(())?;
+            (value("dalelb_entitlement_seconds")? > 0.0).then_some(())?;
+            (value("dalelb_machines{state=\"up\"}")? >= 1.0).then_some(())
+        }
+    })
+    .await;
+
     first
         .kill()
         .await
