Machines on which tasks take far longer than elsewhere are replaced

Estimates are of little use here: tasks took 0.55 of theirs in the median, 1.0 at 95%, and tasks of one job differ by half either way. So a machine's tasks are compared with other tasks of their jobs: four completed ones that took 2.2 times as long on average, or two running ones that are 2.5 times later, and nothing new is placed there; it empties and is returned. At most a tenth of the fleet at a time; those that fail every task keep their third. Inherited tasks do not count: how long they ran is not known.

Ruled out: starting a late task again elsewhere, which saves no time once it is known to be late.

--- a/src/bookkeeping/books.rs
+++ b/src/bookkeeping/books.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
-use super::{Millis, millis};
+use super::{Millis, millis, pace::Mean};
 use crate::{
     config::{Objective, Settings},
     protocol::{
@@ -183,6 +183,8 @@
     /// Backing off after failures: nothing of the job is placed before.
     pub not_before: Millis,
     pub errors: u32,
+    /// What its completed tasks took.
+    pub pace: Mean,
     /// Machines on which it failed lately.
     pub failed_on: VecDeque<MachineIx>,
 }
@@ -326,6 +328,8 @@
     pub silent: bool,
     /// Jobs that failed here since one last succeeded.
     pub failures: Vec<JobId>,
+    /// How its tasks compare with other tasks of their jobs.
+    pub pace: Mean,
     pub avoid_until: Millis,
 }
 
@@ -406,6 +410,8 @@
     pub jobs: Vec<Job>,
     pub free_jobs: Vec<JobIx>,
     pub job_index: BTreeMap<JobId, JobIx>,
+    /// Attempts placed before have begun to run at a time that is not known.
+    pub since: Millis,
     /// How long tasks had waited that started since this was last taken.
     pub start_waits: Vec<Millis>,
     pub machines: Vec<Machine>,
@@ -466,6 +472,7 @@
             jobs: Vec::new(),
             free_jobs: Vec::new(),
             job_index: BTreeMap::new(),
+            since: 0,
             start_waits: Vec::new(),
             machines: Vec::new(),
             machine_index: HashMap::new(),
@@ -654,6 +661,7 @@
             finishing: false,
             not_before: 0,
             errors: 0,
+            pace: Mean::default(),
             failed_on: VecDeque::new(),
         };
         job.take_turn(self.wall_ms(now));
@@ -716,6 +724,7 @@
             draining: false,
             silent: false,
             failures: Vec::new(),
+            pace: Mean::default(),
             avoid_until: 0,
         });
         self.machine_index.insert(name.to_owned(), index);
--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod autoscaler;
 pub mod books;
+pub mod pace;
 pub mod scheduler;
 pub mod store;
 
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -7,7 +7,7 @@
     bookkeeping::{
         Millis,
         books::{Books, MachineIx, MachineState, Phase, TaskStatus, TypeIx},
-        millis,
+        millis, pace,
     },
     protocol::{
         ids::TaskId,
@@ -38,6 +38,10 @@
 const MAX_BACKOFF: Millis = 30_000;
 /// Jobs that must have failed on a machine, with none succeeding, before it counts as sick.
 const SICK: usize = 2;
+/// The parts of the fleet, as divisors, that may be on their way out for failing and for being slow: a
+/// wrong guess must not empty it.
+const SICK_PART: usize = 3;
+const SLOW_PART: usize = 10;
 
 impl Node {
     pub(super) fn check_in(&mut self, id: AskId, report: Report) {
@@ -137,6 +141,9 @@
         }
         let foreign = absorb(books, index, report, now);
         settle(books, index, now);
+        if drags(books, index, now) {
+            replace(books, index, SLOW_PART, "is slow");
+        }
         checkin.then(|| Orders {
             token: term,
             orders: orders_for(books, index, &foreign, first_term, may_start),
@@ -568,6 +575,11 @@
         let cause = attempt.cause.unwrap_or(Cause::Other);
         let closed = books.job(job).closed;
         let latest = books.job(job).tasks[task as usize];
+        // Those inherited ran for longer than is known here.
+        let ran = attempt
+            .running_since
+            .filter(|_| attempt.placed_at > books.since)
+            .map(|since| now.saturating_sub(since));
         if cause == Cause::Done {
             if !closed && latest.status == TaskStatus::Active(on) && latest.attempt == number {
                 books.complete_task(job, task);
@@ -575,6 +587,12 @@
             books.machines[on.at()].attempts[at].settled = true;
             books.machines[on.at()].failures.clear();
             books.jobs[job.at()].errors = 0;
+            if let Some(ran) = ran {
+                let (job, machine) = (&mut books.jobs[job.at()], &mut books.machines[on.at()]);
+                if pace::completed(&mut job.pace, &mut machine.pace, ran as f64 / 1000.0) {
+                    replace(books, on, SLOW_PART, "is slow");
+                }
+            }
             continue;
         }
         // A start that may still arrive would run beside the next attempt.
@@ -630,25 +648,41 @@
             if !machine.failures.contains(&id) {
                 machine.failures.push(id);
             }
-            if machine.failures.len() >= SICK && !machine.draining {
-                let name = machine.name.clone();
-                let fleet = books
-                    .machines
-                    .iter()
-                    .filter(|m| m.state == MachineState::Up);
-                let (all, draining) =
-                    fleet.fold((0, 0), |(a, d), m| (a + 1, d + usize::from(m.draining)));
-                // A wrong guess must not empty the fleet.
-                if (draining + 1) * 3 <= all.max(3) {
-                    tracing::warn!(machine = name, "fails every task: to be replaced");
-                    books.machines[on.at()].draining = true;
-                    books.changed = true;
-                }
+            if machine.failures.len() >= SICK {
+                replace(books, on, SICK_PART, "fails every task");
             }
         }
     }
 }
 
+/// Whether the tasks that run on the machine take far longer than others of their jobs did.
+fn drags(books: &Books, on: MachineIx, now: Millis) -> bool {
+    let running = books.machine(on).attempts.iter().filter_map(|attempt| {
+        let since = attempt
+            .running_since
+            .filter(|_| attempt.phase == Phase::Running)?;
+        let ran_s = now.saturating_sub(since) as f64 / 1000.0;
+        Some((&books.job(attempt.job).pace, ran_s))
+    });
+    pace::drags(running)
+}
+
+/// Places nothing more on the machine, so that it empties and is returned, unless a `part` of the fleet
+/// is on its way out already.
+fn replace(books: &mut Books, on: MachineIx, part: usize, why: &str) {
+    let fleet = books
+        .machines
+        .iter()
+        .filter(|m| m.state == MachineState::Up);
+    let (all, draining) = fleet.fold((0, 0), |(a, d), m| (a + 1, d + usize::from(m.draining)));
+    let machine = &mut books.machines[on.at()];
+    if !machine.draining && (draining + 1) * part <= all.max(part) {
+        tracing::warn!(machine = machine.name, why, "to be replaced");
+        machine.draining = true;
+        books.changed = true;
+    }
+}
+
 /// Attempts that are to stop and whose start was never sent need no orders.
 fn drop_unsent(books: &mut Books, on: MachineIx, now: Millis) {
     for at in (0..books.machine(on).attempts.len()).rev() {
--- a/src/coordination/takeover.rs
+++ b/src/coordination/takeover.rs
@@ -164,6 +164,7 @@
             return;
         };
         let mut books = Books::new(&self.config.settings, &self.types);
+        books.since = self.now;
         books.set_time_of_day(self.now, self.wall);
         let mut live: Vec<_> = self.directory.live().collect();
         live.sort_by_key(|(id, job)| (job.at_ms, *id));
