--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -504,22 +504,12 @@
         leading.fencing = true;
         leading.fenced_at = self.now;
         let lease = leading.lease;
-        let txn = Txn {
-            conditions: vec![
-                leading.condition(),
-                Condition {
-                    key: store::TERM.into(),
-                    version: leading.term_version,
-                },
-            ],
-            writes: vec![Write::Put {
-                key: store::TERM.into(),
-                value: store::to_value(&TermRecord {
-                    term: leading.term + 1,
-                }),
-                lease: None,
-            }],
+        let mut txn = Txn::only_if(leading.condition());
+        let raised = TermRecord {
+            term: leading.term + 1,
         };
+        let raised = store::to_value(&raised);
+        txn.put(store::TERM.into(), leading.term_version, raised);
         self.state(
             StateTag::Fence { lease },
             StateRequest::Txn(txn),
--- a/src/coordination/notes.rs
+++ b/src/coordination/notes.rs
@@ -9,7 +9,7 @@
 use std::collections::{BTreeSet, HashSet, VecDeque};
 
 use super::{
-    Node, StateTag,
+    Leading, Node, StateTag,
     directory::Entry,
     leader::{Fate, TXN_TIMEOUT},
 };
@@ -224,16 +224,14 @@
 
     /// Writes what changed, and the end of jobs whose tasks are all done.
     pub(super) fn flush(&mut self) {
-        let limits = &self.config.settings.state;
-        let ops = limits.txn_ops as usize;
-        let value_bytes = (limits.value_kb * 1024.0) as usize;
         let gap = self.log_gap();
         let Some(leading) = &mut self.leading else {
             return;
         };
-        let leader = leading.condition();
-        let notes = &mut leading.notes;
-        let Some(books) = &mut leading.books else {
+        let mut txn = Txn::only_if(leading.condition());
+        let lease = leading.lease;
+        let notes = &leading.notes;
+        let Some(books) = &leading.books else {
             return;
         };
         if notes.flush.is_some()
@@ -243,20 +241,45 @@
         {
             return;
         }
-        let mut txn = Txn {
-            conditions: vec![leader],
-            writes: Vec::new(),
+        let flush = Flush {
+            entries: self.log(&mut txn),
+            finals: self.finish(&mut txn),
         };
-        let mut flush = Flush {
-            entries: Vec::new(),
-            finals: Vec::new(),
+        let Some(leading) = self.leading.as_mut().filter(|_| !txn.writes.is_empty()) else {
+            return;
+        };
+        leading.notes.flush = Some(flush);
+        leading.notes.flushed_at = self.now;
+        self.state(
+            StateTag::Flush { lease },
+            StateRequest::Txn(txn),
+            Urgency::Prompt,
+            TXN_TIMEOUT,
+        );
+    }
+
+    /// Adds entries of the log to a transaction, as many as it holds and what changed fills.
+    fn log(&mut self, txn: &mut Txn) -> Vec<LiveEntry> {
+        let limits = &self.config.settings.state;
+        let ops = limits.txn_ops as usize;
+        let value_bytes = (limits.value_kb * 1024.0) as usize;
+        let mut entries: Vec<LiveEntry> = Vec::new();
+        let Some(leading) = &mut self.leading else {
+            return entries;
+        };
+        let Leading {
+            notes,
+            books: Some(books),
+            ..
+        } = leading.as_mut()
+        else {
+            return entries;
         };
         let mut bytes = 512;
-        while !books.unlogged.is_empty() && (txn.writes.len() + 1 < ops || ops == 1) {
+        // A write is left for the end of a job.
+        while !books.unlogged.is_empty() && txn.writes.len() + 1 < ops {
             let room = value_bytes.min(TXN_BYTES.saturating_sub(bytes));
-            if (room < value_bytes.min(4096) && !flush.entries.is_empty())
-                || txn.writes.len() >= ops
-            {
+            if room < value_bytes.min(4096) && !entries.is_empty() {
                 break;
             }
             let Some((slot, version)) = notes.next_slot() else {
@@ -277,19 +300,10 @@
             let value = store::to_value(&record);
             let size = value.to_string().len();
             bytes += size + 256;
-            let key = store::slot_key(slot);
-            txn.conditions.push(Condition {
-                key: key.clone(),
-                version,
-            });
-            txn.writes.push(Write::Put {
-                key,
-                value,
-                lease: None,
-            });
+            txn.put(store::slot_key(slot), version, value);
             // Not free until the answer says so.
             notes.slots[slot as usize] = Slot::Taken;
-            flush.entries.push(LiveEntry {
+            entries.push(LiveEntry {
                 seq,
                 slot,
                 version,
@@ -297,6 +311,16 @@
                 names,
             });
         }
+        entries
+    }
+
+    /// Adds the end of jobs whose tasks are all done, and stored, to a transaction.
+    fn finish(&mut self, txn: &mut Txn) -> Vec<(JobIx, JobId)> {
+        let ops = self.config.settings.state.txn_ops as usize;
+        let mut finals = Vec::new();
+        let Some(books) = self.leading.as_mut().and_then(|l| l.books.as_mut()) else {
+            return finals;
+        };
         for job in books.complete.clone() {
             if txn.writes.len() >= ops {
                 break;
@@ -310,31 +334,12 @@
                 continue;
             }
             let id = entry.id;
-            let key = store::job_key(id);
-            txn.conditions.push(Condition {
-                key: key.clone(),
-                version: live.version,
-            });
-            txn.writes.push(Write::Put {
-                key,
-                value: store::to_value(&JobRecord::Done),
-                lease: None,
-            });
+            let done = store::to_value(&JobRecord::Done);
+            txn.put(store::job_key(id), live.version, done);
             books.jobs[job.at()].finishing = true;
-            flush.finals.push((job, id));
-        }
-        if txn.writes.is_empty() {
-            return;
+            finals.push((job, id));
         }
-        notes.flush = Some(flush);
-        notes.flushed_at = self.now;
-        let lease = leading.lease;
-        self.state(
-            StateTag::Flush { lease },
-            StateRequest::Txn(txn),
-            Urgency::Prompt,
-            TXN_TIMEOUT,
-        );
+        finals
     }
 
     pub(super) fn flushed(&mut self, lease: u64, result: Result<StateReply, StateError>) {
@@ -479,10 +484,7 @@
         if !notes.long() {
             return;
         }
-        let mut txn = Txn {
-            conditions: vec![leader],
-            writes: Vec::new(),
-        };
+        let mut txn = Txn::only_if(leader);
         let mut paging = Paging {
             pages: Vec::new(),
             covers: notes.next_seq - 1,
@@ -510,16 +512,7 @@
             if bytes > TXN_BYTES && !txn.writes.is_empty() {
                 break;
             }
-            let key = store::chunk_key(id, chunk);
-            txn.conditions.push(Condition {
-                key: key.clone(),
-                version: stands.version,
-            });
-            txn.writes.push(Write::Put {
-                key,
-                value,
-                lease: None,
-            });
+            txn.put(store::chunk_key(id, chunk), stands.version, value);
             books.jobs[job.at()].chunks[chunk as usize].in_flight = true;
             paging.pages.push(name);
         }
@@ -620,10 +613,7 @@
                 entry.closed && !held.contains(job) && entry.chunks.iter().all(|c| !c.in_flight)
             })
             .collect();
-        let mut txn = Txn {
-            conditions: vec![leader],
-            writes: Vec::new(),
-        };
+        let mut txn = Txn::only_if(leader);
         let mut jobs = Vec::new();
         for index in over {
             let entry = books.job(index);
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -12,7 +12,7 @@
     protocol::{
         ids::JobId,
         job::{JobStatus, JobView, Kind, Submission},
-        state::{Condition, StateError, StateReply, StateRequest, Txn, Urgency, Write},
+        state::{StateError, StateReply, StateRequest, Txn, Urgency},
     },
 };
 
@@ -141,18 +141,9 @@
                         tries: tries + 1,
                     },
                 );
-                let key = store::job_key(job);
-                let txn = Txn {
-                    conditions: vec![Condition {
-                        key: key.clone(),
-                        version: live.version,
-                    }],
-                    writes: vec![Write::Put {
-                        key,
-                        value: store::to_value(&JobRecord::Cancelled),
-                        lease: None,
-                    }],
-                };
+                let mut txn = Txn::default();
+                let cancelled = store::to_value(&JobRecord::Cancelled);
+                txn.put(store::job_key(job), live.version, cancelled);
                 self.state(
                     StateTag::Cancel(id),
                     StateRequest::Txn(txn),
@@ -218,7 +209,6 @@
     }
 
     fn accept(&mut self, id: AskId, submission: Box<Submission>) {
-        let key = store::job_key(submission.id);
         let value = store::to_value(&JobRecord::Live {
             at_ms: self.wall,
             spec: submission.clone(),
@@ -226,17 +216,8 @@
         if value.to_string().len() as f64 > self.config.settings.state.value_kb * 1024.0 - 64.0 {
             return self.answer(id, Answer::error(400, "too many names"));
         }
-        let txn = Txn {
-            conditions: vec![Condition {
-                key: key.clone(),
-                version: 0,
-            }],
-            writes: vec![Write::Put {
-                key,
-                value,
-                lease: None,
-            }],
-        };
+        let mut txn = Txn::default();
+        txn.put(store::job_key(submission.id), 0, value);
         self.pending.insert(id, Pending::Submit(submission));
         self.state(
             StateTag::Submit(id),
--- a/src/protocol/state.rs
+++ b/src/protocol/state.rs
@@ -56,6 +56,29 @@
     pub writes: Vec<Write>,
 }
 
+impl Txn {
+    /// A transaction without writes yet, under a condition for all of them.
+    pub fn only_if(condition: Condition) -> Self {
+        Txn {
+            conditions: vec![condition],
+            writes: Vec::new(),
+        }
+    }
+
+    /// Writes the key, given that it has the version (0: that it is not there).
+    pub fn put(&mut self, key: String, version: u64, value: Value) {
+        self.conditions.push(Condition {
+            key: key.clone(),
+            version,
+        });
+        self.writes.push(Write::Put {
+            key,
+            value,
+            lease: None,
+        });
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Committed {
     #[serde(rename = "ledger")]
