--- a/src/bookkeeping/books.rs
+++ b/src/bookkeeping/books.rs
@@ -416,8 +416,9 @@
     pub start_waits: Vec<Millis>,
     pub machines: Vec<Machine>,
     pub machine_index: HashMap<String, MachineIx>,
-    /// What predecessors knew of machines' images, until the machines are entered.
-    remembered: HashMap<String, Vec<(ImageIx, f64)>>,
+    /// What predecessors knew of machines' images, and which were to be replaced, until the machines
+    /// are entered.
+    remembered: HashMap<String, (Vec<(ImageIx, f64)>, bool)>,
     pub chunk_len: u32,
     /// Tasks with changes that the store does not hold and that no write under way carries.
     pub unlogged: BTreeSet<(JobIx, u32)>,
@@ -695,7 +696,7 @@
             return known;
         }
         let index = MachineIx(self.machines.len() as u32);
-        let images = self.remembered.remove(name).unwrap_or_default();
+        let (images, draining) = self.remembered.remove(name).unwrap_or_default();
         self.machines.push(Machine {
             name: name.to_owned(),
             addr: None,
@@ -721,7 +722,7 @@
             images,
             idle_since: now,
             busy: false,
-            draining: false,
+            draining,
             silent: false,
             failures: Vec::new(),
             pace: Mean::default(),
@@ -731,14 +732,24 @@
         index
     }
 
-    /// Takes over what a predecessor knew of a machine's images.
-    pub fn remember(&mut self, machine: String, images: impl Iterator<Item = (String, f64)>) {
+    /// Takes over what a predecessor knew of a machine: its images, and whether nothing more is to be
+    /// placed there. Without that, a successor filled a machine that fails every task once more.
+    pub fn remember(
+        &mut self,
+        machine: String,
+        images: impl Iterator<Item = (String, f64)>,
+        draining: bool,
+    ) {
         let images = images.map(|(name, gb)| (ImageIx(self.images.index(&name)), gb));
         let images = images.collect();
         match self.machine_index.get(&machine) {
-            Some(known) => self.machines[known.at()].images = images,
+            Some(known) => {
+                let known = &mut self.machines[known.at()];
+                known.images = images;
+                known.draining |= draining;
+            }
             None => {
-                self.remembered.insert(machine, images);
+                self.remembered.insert(machine, (images, draining));
             }
         }
     }
--- a/src/bookkeeping/store.rs
+++ b/src/bookkeeping/store.rs
@@ -179,14 +179,17 @@
 pub struct ImagesRecord {
     /// Name and size.
     pub images: Vec<(String, f64)>,
-    /// A machine's name, and a bit for each image.
+    /// A machine's name, and a bit for each image, and [`TO_BE_REPLACED`].
     pub machines: Vec<(String, u64)>,
 }
 
+/// Set for a machine on which nothing more is to be placed: it failed its tasks, or was slow.
+pub const TO_BE_REPLACED: u64 = 1 << IMAGES_TOLD;
+
 /// Images that one record tells of.
-const IMAGES_TOLD: usize = 48;
+pub const IMAGES_TOLD: usize = 48;
 
-/// What the books know of images, in records whose JSON has at most `bytes` bytes each.
+/// What the books know of machines' images and faults, in records whose JSON has at most `bytes` bytes each.
 pub fn images_records(books: &Books, bytes: usize) -> Vec<ImagesRecord> {
     let mut names: HashMap<ImageIx, &str> = HashMap::new();
     for (name, index) in books.images.iter() {
@@ -227,6 +230,7 @@
             .iter()
             .filter_map(|(image, _)| bit.get(image))
             .fold(0, |held, bit| held | 1 << bit);
+        let held = held | if machine.draining { TO_BE_REPLACED } else { 0 };
         if held == 0 {
             continue;
         }
--- a/src/coordination/takeover.rs
+++ b/src/coordination/takeover.rs
@@ -174,12 +174,17 @@
         let mut found = std::mem::take(&mut leading.found);
         for ImagesRecord { images, machines } in std::mem::take(&mut found.images) {
             for (machine, held) in machines {
-                let held = images
+                let held_images = images
                     .iter()
-                    .take(64)
                     .enumerate()
+                    .take(store::IMAGES_TOLD)
                     .filter(|(bit, _)| held >> bit & 1 == 1);
-                books.remember(machine, held.map(|(_, image)| image.clone()));
+                let replace = held & store::TO_BE_REPLACED != 0;
+                books.remember(
+                    machine,
+                    held_images.map(|(_, image)| image.clone()),
+                    replace,
+                );
             }
         }
         let mut closing = Vec::new();
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -318,6 +318,7 @@
     books.add_job(&job(1, "red", 1200, 8.0), 0, 0);
     while scheduler::round(&mut books, 0) > 0 {}
     run_all(&mut books, 0);
+    books.machines[3].draining = true;
     for bytes in [2048, 16 * 1024] {
         let records = store::images_records(&books, bytes);
         let mut told = 0;
@@ -325,7 +326,10 @@
             told += record
                 .machines
                 .iter()
-                .filter(|(_, held)| *held == 1)
+                .filter(|(name, held)| {
+                    let replace = name == "vm-000003";
+                    *held == 1 | if replace { store::TO_BE_REPLACED } else { 0 }
+                })
                 .count();
             assert_eq!(record.images, [("img".to_owned(), 1.0)]);
             let value = store::to_value(&record);
@@ -338,12 +342,14 @@
         assert_eq!(told, 600);
     }
     let mut successor = self::books((0.0, 0.0), (0.0, 0.0), 0);
-    successor.remember("vm-000007".into(), [("img".to_owned(), 1.0)].into_iter());
+    let images = [("img".to_owned(), 1.0)].into_iter();
+    successor.remember("vm-000007".into(), images, true);
     let zone = successor.zone("a");
     let machine = successor.add_machine("vm-000007", TypeIx(0), zone, false, 0);
     successor.add_job(&job(1, "red", 1, 8.0), 0, 0);
     let image = successor.jobs[0].image;
     assert!(successor.machine(machine).has_image(image));
+    assert!(successor.machine(machine).draining, "to be replaced");
 }
 
 /// A fleet's worth of changes is cut into entries that each fit a value, however small that is.
