A leader out of its workers' reach resigns; deputies promise late

Cause: a leader cut off from the workers alone kept its lease for 35 s, and deputies had promised it workers that only found them after a dead node. After a gap between the owner's passes nobody is held to be silent for 2 s.

--- a/src/coordination/deputy.rs
+++ b/src/coordination/deputy.rs
@@ -7,11 +7,11 @@
 //! when no node can have renewed it: each node that holds such a key has said so and promised to
 //! leave that session alone, and whoever held one before has lost it for a whole lease.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use super::{
-    Answer, AskId, Effect, Node, Renewal, Revocation, StateTag, directory::Entry, fleet::ACK_FRESH,
-    leader::DRIFT,
+    Answer, AskId, Effect, Node, Renewal, Revocation, StateTag, Word, directory::Entry,
+    fleet::ACK_FRESH, leader::DRIFT,
 };
 use crate::{
     bookkeeping::{
@@ -43,6 +43,8 @@
 const UNREACHED: Millis = 5000;
 /// A worker renewed this lately can be sent to the leader: it has the time to come back.
 const FRESH: Millis = 5000;
+/// A worker that reported this lately is heard.
+const HEARD: Millis = 5000;
 
 #[derive(Default)]
 pub struct Deputy {
@@ -206,6 +208,7 @@
             {
                 return self.answer(id, Answer::with(200, &orders));
             }
+            tracing::debug!(machine = report.machine, "sent on to the leader");
             self.deputy.sent_on.insert(report.machine.clone(), now);
             return self.answer(id, Answer::with(421, &Redirect { leader }));
         }
@@ -213,7 +216,10 @@
         if !bounced {
             self.deputy.sent_on.remove(&report.machine);
         }
-        match self.renew(report) {
+        let renewal = self.renew(report);
+        let renewed = renewal.is_some();
+        tracing::debug!(machine = report.machine, heard, bounced, renewed, "reports");
+        match renewal {
             Some(orders) => self.answer(id, Answer::with(200, &orders)),
             None if leader.is_some() => self.answer(id, Answer::with(421, &Redirect { leader })),
             None => self.answer(id, Answer::error(503, "no leader")),
@@ -263,6 +269,18 @@
             .insert(report.machine.clone(), (self.now, report.session));
     }
 
+    /// How many workers have reported here lately, those included that were sent on to the leader.
+    fn hears(&self) -> usize {
+        let lately = |at: Millis| at + HEARD > self.now;
+        let renewed = self.deputy.renewed.iter();
+        let renewed = renewed
+            .filter(|(_, (at, _))| lately(*at))
+            .map(|(name, _)| name);
+        let sent_on = self.deputy.sent_on.iter();
+        let sent_on = sent_on.filter(|(_, at)| lately(**at)).map(|(name, _)| name);
+        renewed.chain(sent_on).collect::<HashSet<_>>().len()
+    }
+
     /// How long a worker's lease lasts at the most, by our clock, after it was renewed.
     pub(super) fn worker_lease(&self) -> Millis {
         millis(self.config.settings.workers.lease_s * (1.0 + DRIFT) + 0.3)
@@ -287,25 +305,34 @@
         let clocks = 2 * self.config.settings.clock_error_ms as u64;
         let stale = self.wall > revocation.asked_ms + STALE_QUESTION + clocks;
         if revocation.term >= self.directory.term && !stale {
-            for (machine, session) in revocation.machines {
-                let renewed = self.deputy.renewed.get(&machine).copied();
+            for machine in revocation.machines {
+                let renewed = self.deputy.renewed.get(&machine.name).copied();
                 // A process that had this label before may have renewed it up to our start.
                 let age_ms = renewed.map_or(now, |(at, _)| now.saturating_sub(at));
                 // One that lives by our renewals is not promised away.
-                if age_ms > self.worker_lease() / 2 {
-                    self.deputy.revoked.insert(machine.clone(), (session, now));
+                if age_ms > self.worker_lease() / 2 && !machine.inquiry {
+                    let promised = (machine.session, now);
+                    self.deputy.revoked.insert(machine.name.clone(), promised);
                 }
-                renewals.push(Renewal { machine, age_ms });
+                renewals.push(Renewal {
+                    machine: machine.name,
+                    age_ms,
+                    inquiry: machine.inquiry,
+                });
             }
         }
-        self.out.push(Effect::Revoked(id, renewals));
+        let hears = self.hears();
+        self.out.push(Effect::Revoked(id, Word { renewals, hears }));
     }
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::{bookkeeping::store::LeaderRecord, config::Config, protocol::worker::TaskReport};
+    use crate::{
+        bookkeeping::store::LeaderRecord, config::Config, coordination::SilentMachine,
+        protocol::worker::TaskReport,
+    };
 
     const START: Millis = 100_000;
     const WALL: u64 = 1_700_000_000_000;
@@ -338,15 +365,19 @@
         node.sync.ok = Some(now);
     }
 
-    fn ask(node: &mut Node, asked: Millis) -> usize {
+    fn ask(node: &mut Node, asked: Millis, inquiry: bool) -> usize {
         let revocation = Revocation {
             term: 3,
-            machines: vec![("vm-1".into(), 1)],
+            machines: vec![SilentMachine {
+                name: "vm-1".into(),
+                session: 1,
+                inquiry,
+            }],
             asked_ms: WALL + asked,
         };
         node.revoke(1, revocation);
         match node.out.pop() {
-            Some(Effect::Revoked(_, renewals)) => renewals.len(),
+            Some(Effect::Revoked(_, word)) => word.renewals.len(),
             other => panic!("no answer but {other:?}"),
         }
     }
@@ -375,13 +406,16 @@
     #[test]
     fn a_promise_binds_while_the_leader_may_act_on_it_and_late_questions_not_at_all() {
         let mut node = deputy(START);
-        assert_eq!(ask(&mut node, START), 1);
+        assert_eq!(ask(&mut node, START, true), 1);
+        assert!(renews(&mut node), "an inquiry binds to nothing");
+        let mut node = deputy(START);
+        assert_eq!(ask(&mut node, START, false), 1);
         for (after, expected) in [(0, false), (ACK_FRESH + 500, false), (PROMISE, true)] {
             at(&mut node, START + after);
             assert_eq!(renews(&mut node), expected, "{after} ms after the promise");
         }
         let mut node = deputy(START);
-        assert_eq!(ask(&mut node, START - 30_000), 0, "a late question");
+        assert_eq!(ask(&mut node, START - 30_000, false), 0, "a late question");
         assert!(renews(&mut node));
     }
 
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use super::{Answer, AskId, Effect, Leading, Node, Renewal, Revocation, WorkerTag};
+use super::{Answer, AskId, Effect, Leading, Node, Revocation, SilentMachine, Word, WorkerTag};
 use crate::{
     bookkeeping::{
         Millis,
@@ -21,9 +21,15 @@
     sent_at: Millis,
     /// When the lease has run out, as far as that member may have renewed it.
     until: Millis,
+    /// It has promised to leave the machine alone, if it has not renewed it of late.
+    binding: bool,
 }
 
 const ASK_DEPUTIES: Millis = 1000;
+/// Deputies are asked this long before a silent machine's lease ends; shortly before that, those who
+/// have not renewed it are asked for their promise.
+const INQUIRE: Millis = 3500;
+const BIND: Millis = 1200;
 /// A promise older than this is asked for again.
 pub(super) const ACK_FRESH: Millis = 5000;
 const DIRECT_TIMEOUT: Millis = 3000;
@@ -298,6 +304,7 @@
             _ => return,
         }
         let lease_ms = self.worker_lease();
+        let just_woke = self.just_woke();
         let silence = millis(self.config.settings.workers.report_s * 1.25 + 2.0);
         // Keys that a sync sent after a lease's end does not show were not there while it lasted.
         let checked = self.sync.ok.unwrap_or(0);
@@ -326,7 +333,7 @@
             if machine.state != MachineState::Up {
                 continue;
             }
-            machine.silent = machine.heard_at.is_none_or(|at| at + silence < now);
+            machine.silent = !just_woke && machine.heard_at.is_none_or(|at| at + silence < now);
             if now > machine.lease_until
                 && checked >= machine.lease_until
                 && nobody_renews(deputies, gone, acks, &machine.name, now, lease_ms)
@@ -346,12 +353,14 @@
             }
         }
         leading.fence_wanted |= fence;
+        self.check_reach();
     }
 
-    /// Asks the other deputies about machines that are silent, in time before their leases end.
+    /// Asks the other deputies about machines that are silent, in time before their leases end. A
+    /// promise is asked for only when nobody seems to keep the machine alive: bound too early, a
+    /// deputy refused workers that had lost the leader and found it only after trying a dead node.
     fn ask_deputies(&mut self, labels: Vec<String>) {
         let now = self.now;
-        let silent_for = self.worker_lease().saturating_sub(6000);
         let Some(leading) = &mut self.leading else {
             return;
         };
@@ -359,12 +368,22 @@
             return;
         }
         let Some(books) = &leading.books else { return };
-        let machines: Vec<(String, u64)> = books
+        let lapsing = |label: &String, name: &String| {
+            leading
+                .acks
+                .get(&(label.clone(), name.clone()))
+                .is_some_and(|ack| ack.sent_at + ACK_FRESH > now && ack.until < now + BIND)
+        };
+        let machines: Vec<SilentMachine> = books
             .machines
             .iter()
-            .filter(|m| m.state == MachineState::Up)
-            .filter(|m| m.lease_until < now + 6000 && silent_for > 0)
-            .map(|m| (m.name.clone(), m.session))
+            .filter(|m| m.state == MachineState::Up && m.lease_until < now + INQUIRE)
+            .map(|m| SilentMachine {
+                name: m.name.clone(),
+                session: m.session,
+                inquiry: m.lease_until > now + BIND
+                    || !labels.iter().all(|label| lapsing(label, &m.name)),
+            })
             .collect();
         if machines.is_empty() {
             return;
@@ -391,7 +410,7 @@
         lease: u64,
         label: String,
         sent_at: Millis,
-        renewals: Option<Vec<Renewal>>,
+        word: Option<Word>,
     ) {
         if !self.leads(lease) {
             return;
@@ -400,13 +419,18 @@
         let Some(leading) = &mut self.leading else {
             return;
         };
-        for renewal in renewals.into_iter().flatten() {
+        let Some(word) = word else { return };
+        leading.reach.heard(label.clone(), word.hears, now);
+        for renewal in word.renewals {
             // Its clock may run slower than ours.
             let age = renewal.age_ms - renewal.age_ms / 500;
             let until = (now + lease_ms).saturating_sub(age);
-            leading
-                .acks
-                .insert((label.clone(), renewal.machine), Ack { sent_at, until });
+            let ack = Ack {
+                sent_at,
+                until,
+                binding: !renewal.inquiry,
+            };
+            leading.acks.insert((label.clone(), renewal.machine), ack);
         }
         leading.acks.retain(|_, ack| ack.sent_at + 60_000 > now);
     }
@@ -451,7 +475,7 @@
     let gone = gone.values().all(|at| at + lease_ms < now);
     gone && deputies.keys().all(|label| {
         acks.get(&(label.clone(), machine.to_owned()))
-            .is_some_and(|ack| ack.sent_at + ACK_FRESH > now && ack.until < now)
+            .is_some_and(|ack| ack.binding && ack.sent_at + ACK_FRESH > now && ack.until < now)
     })
 }
 
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -8,7 +8,7 @@
 
 use super::{
     Effect, JobProgress, Node, Progress, StateTag, directory::Entry, fleet::Ack, notes::Notes,
-    renting::Renting, takeover::Found,
+    reach::Reach, renting::Renting, takeover::Found,
 };
 use crate::{
     bookkeeping::{
@@ -61,6 +61,13 @@
     },
 }
 
+impl Campaign {
+    /// Others go first until then.
+    pub(super) fn resigned(&mut self, until: Millis) {
+        self.after = until;
+    }
+}
+
 /// What the leader knows and does.
 pub struct Leading {
     pub lease: u64,
@@ -95,6 +102,7 @@
     /// What members say about silent machines, by member and machine.
     pub acks: HashMap<(String, String), Ack>,
     pub asked_deputies: Millis,
+    pub reach: Reach,
 }
 
 impl Leading {
@@ -350,6 +358,7 @@
             gone: HashMap::new(),
             acks: HashMap::new(),
             asked_deputies: 0,
+            reach: Reach::default(),
         }));
         self.out.push(Effect::Leading(true));
         // Jobs accepted or cancelled up to now must be known before the books are made.
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod leader;
 mod notes;
+mod reach;
 mod renting;
 mod status;
 mod takeover;
@@ -32,6 +33,11 @@
     },
 };
 
+/// The owner is called many times a second. After a longer gap what others sent meanwhile still lies
+/// unread: for a while nobody is held to be silent for it.
+const STOOD_STILL: Millis = 1000;
+const AWAKE: Millis = 2000;
+
 /// A request from outside that waits for its answer.
 pub type AskId = u64;
 
@@ -96,17 +102,35 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Revocation {
     pub term: u64,
-    /// Name and session; session 0: not known.
-    pub machines: Vec<(String, u64)>,
+    pub machines: Vec<SilentMachine>,
     /// The leader's time of day when it asked.
     pub asked_ms: u64,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SilentMachine {
+    pub name: String,
+    /// 0: not known.
+    pub session: u64,
+    /// Only a question: it binds the member to nothing.
+    pub inquiry: bool,
+}
+
+/// What a member says to that.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Word {
+    pub renewals: Vec<Renewal>,
+    /// How many workers reported to it lately.
+    pub hears: usize,
+}
+
 /// How long ago a node last renewed a machine's lease, at the latest.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Renewal {
     pub machine: String,
     pub age_ms: u64,
+    /// The answer to a mere question.
+    pub inquiry: bool,
 }
 
 #[derive(Debug)]
@@ -134,7 +158,7 @@
         lease: u64,
         label: String,
         sent_at: Millis,
-        renewals: Option<Vec<Renewal>>,
+        word: Option<Word>,
     },
     /// A member's answer to a relayed request; `None`: no answer.
     Relayed(AskId, Option<Answer>),
@@ -167,7 +191,7 @@
         label: String,
         revocation: Revocation,
     },
-    Revoked(AskId, Vec<Renewal>),
+    Revoked(AskId, Word),
     /// Have this member answer.
     Relay {
         id: AskId,
@@ -240,6 +264,8 @@
     config: Config,
     now: Millis,
     wall: u64,
+    /// When the process last went on after it had stood still.
+    woke_at: Option<Millis>,
     out: Vec<Effect>,
     directory: Directory,
     loading: directory::Loading,
@@ -264,6 +290,7 @@
             config,
             now: 0,
             wall: 0,
+            woke_at: None,
             out: Vec::new(),
             directory: Directory::default(),
             loading: directory::Loading::Needed { after: 0 },
@@ -284,6 +311,13 @@
 
     /// Works through a batch of commands.
     pub fn step(&mut self, commands: impl IntoIterator<Item = Command>, now: Now) -> Vec<Effect> {
+        if self.now > 0 && self.now + STOOD_STILL < now.steady {
+            tracing::warn!(
+                for_ms = now.steady - self.now,
+                "stood still while the clocks ran on"
+            );
+            self.woke_at = Some(now.steady);
+        }
         self.now = self.now.max(now.steady);
         self.wall = now.wall;
         for command in commands {
@@ -310,8 +344,8 @@
                 lease,
                 label,
                 sent_at,
-                renewals,
-            } => self.revoked(lease, label, sent_at, renewals),
+                word,
+            } => self.revoked(lease, label, sent_at, word),
             Command::Relayed(id, answer) => self.relayed(id, answer),
             Command::Tick => {}
         }
@@ -367,6 +401,11 @@
         });
     }
 
+    /// Whether the process stood still lately.
+    fn just_woke(&self) -> bool {
+        self.woke_at.is_some_and(|at| at + AWAKE > self.now)
+    }
+
     /// Whether users can be served: the jobs are known, and so is what a machine can hold.
     pub fn ready(&self) -> bool {
         self.directory.loaded() && !self.types.is_empty()
--- /dev/null
+++ b/src/coordination/reach.rs
@@ -0,0 +1,142 @@
+//! Whether the workers reach the leader. One whose lease stays fresh while it hears few of them holds
+//! everything up: it resigns in favour of a member that hears more.
+
+use std::collections::HashMap;
+
+use super::{Effect, Node, Revocation, StateTag, leader::TXN_TIMEOUT};
+use crate::{
+    bookkeeping::{Millis, books::MachineState},
+    protocol::state::{StateRequest, Urgency},
+};
+
+const ASK: Millis = 500;
+/// A member's word counts for this long.
+const WORD: Millis = 2000;
+/// What is heard must have been little for this long.
+const DEAF: Millis = 1000;
+/// After a takeover the workers search for their new leader, and each dead node costs them 5 s.
+const SETTLE: Millis = 12_000;
+/// A node that has resigned lets others take over for this long.
+pub(super) const RESIGNED: Millis = 8000;
+/// Parts of the fleet: silent machines from which on members are asked, by how much more a member must
+/// hear, and what must be heard of it when no member answers.
+const SILENT_PART: usize = 4;
+const MORE_PART: usize = 10;
+const FEW: (usize, usize) = (2, 5);
+
+/// What is known of the workers that other members hear.
+#[derive(Default)]
+pub struct Reach {
+    /// Since when many machines are silent.
+    deaf_since: Option<Millis>,
+    asked_at: Millis,
+    /// How many workers each member hears, and when it said so.
+    words: HashMap<String, (Millis, usize)>,
+}
+
+impl Reach {
+    pub fn heard(&mut self, label: String, hears: usize, now: Millis) {
+        self.words.insert(label, (now, hears));
+    }
+
+    /// Whether another node should lead instead of one that hears `heard` of `all` machines.
+    fn resign(&self, heard: usize, all: usize, now: Millis) -> bool {
+        if self.deaf_since.is_none_or(|since| since + DEAF > now) {
+            return false;
+        }
+        let words = self.words.values();
+        let others = words.filter(|(at, _)| at + WORD > now);
+        match others.map(|(_, hears)| *hears).max() {
+            Some(hears) => hears > heard + all / MORE_PART,
+            // Cut off from the members too: whoever can take over hears no less.
+            None => heard * FEW.1 < all * FEW.0,
+        }
+    }
+}
+
+impl Node {
+    /// Looks at how many machines are silent, asks the members how many they hear, and resigns where
+    /// that is right.
+    pub(super) fn check_reach(&mut self) {
+        let now = self.now;
+        let asked_ms = self.wall;
+        let woke = self.just_woke();
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let Some(books) = &leading.books else { return };
+        let up = books.machines.iter();
+        let up = up.filter(|machine| machine.state == MachineState::Up);
+        let (all, silent) = up.fold((0, 0), |(all, silent), machine| {
+            (all + 1, silent + usize::from(machine.silent))
+        });
+        let settled = leading.takeover_at + SETTLE <= now && !woke;
+        if !settled || self.config.members.is_empty() || silent * SILENT_PART <= all {
+            leading.reach.deaf_since = None;
+            return;
+        }
+        leading.reach.deaf_since.get_or_insert(now);
+        let heard = all - silent;
+        if leading.reach.resign(heard, all, now) {
+            tracing::warn!(heard, all, members = ?leading.reach.words, "resigns: out of the workers' reach");
+            return self.resign();
+        }
+        if leading.reach.asked_at + ASK > now {
+            return;
+        }
+        leading.reach.asked_at = now;
+        let (lease, term) = (leading.lease, leading.term);
+        for member in &self.config.members {
+            self.out.push(Effect::Revoke {
+                lease,
+                label: member.label.clone(),
+                revocation: Revocation {
+                    term,
+                    machines: Vec::new(),
+                    asked_ms,
+                },
+            });
+        }
+    }
+
+    /// Gives the leadership up, for others to take at once.
+    fn resign(&mut self) {
+        let Some(lease) = self.leading.as_ref().map(|leading| leading.lease) else {
+            return;
+        };
+        self.step_down();
+        self.campaign.resigned(self.now + RESIGNED);
+        self.state(
+            StateTag::Release,
+            StateRequest::Release { lease },
+            Urgency::Vital,
+            TXN_TIMEOUT,
+        );
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A leader that had lost its way to the workers alone kept its lease for 35 s: nothing started,
+    /// and workers that found another node too late died.
+    #[test]
+    fn a_leader_resigns_when_a_member_hears_more_or_it_hears_next_to_nobody() {
+        let mut reach = Reach::default();
+        assert!(!reach.resign(0, 100, 10_000), "not for the first look");
+        reach.deaf_since = Some(10_000);
+        let now = 10_000 + DEAF;
+        assert!(reach.resign(39, 100, now), "no member answers");
+        assert!(
+            !reach.resign(50, 100, now),
+            "half of the machines are cut off"
+        );
+        reach.heard("n1".into(), 40, now);
+        assert!(!reach.resign(30, 100, now), "hardly more");
+        reach.heard("n2".into(), 41, now);
+        assert!(reach.resign(30, 100, now));
+        assert!(!reach.resign(60, 100, now));
+        assert!(!reach.resign(45, 100, now + WORD), "the word is old");
+    }
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     config::Config,
-    coordination::{Answer, Ask, AskId, Command, Effect, Node, Now, Renewal, Revocation},
+    coordination::{Answer, Ask, AskId, Command, Effect, Node, Now, Revocation, Word},
     metrics::Metrics,
     protocol::{
         cloud::{CloudError, CloudRequest},
@@ -112,12 +112,12 @@
     io: Rc<Io>,
     mut queue: mpsc::UnboundedReceiver<Command>,
     mut asked: mpsc::UnboundedReceiver<(Ask, oneshot::Sender<Answer>)>,
-    mut questioned: mpsc::UnboundedReceiver<(Revocation, oneshot::Sender<Vec<Renewal>>)>,
+    mut questioned: mpsc::UnboundedReceiver<(Revocation, oneshot::Sender<Word>)>,
 ) {
     let mut tick = tokio::time::interval(TICK);
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut answers: HashMap<AskId, oneshot::Sender<Answer>> = HashMap::new();
-    let mut renewals: HashMap<AskId, oneshot::Sender<Vec<Renewal>>> = HashMap::new();
+    let mut words: HashMap<AskId, oneshot::Sender<Word>> = HashMap::new();
     let mut next_ask: AskId = 0;
     let mut batch = Vec::with_capacity(BATCH);
     let mut asks = Vec::with_capacity(BATCH);
@@ -129,7 +129,7 @@
             _ = asked.recv_many(&mut asks, BATCH) => {}
             Some((revocation, reply)) = questioned.recv() => {
                 next_ask += 1;
-                renewals.insert(next_ask, reply);
+                words.insert(next_ask, reply);
                 batch.push(Command::Revoke(next_ask, revocation));
             }
             _ = tick.tick() => batch.push(Command::Tick),
@@ -161,7 +161,7 @@
                     }
                 }
                 Effect::Revoked(id, answer) => {
-                    if let Some(waiting) = renewals.remove(&id) {
+                    if let Some(waiting) = words.remove(&id) {
                         let _ = waiting.send(answer);
                     }
                 }
@@ -298,12 +298,12 @@
                 };
                 tokio::task::spawn_local(async move {
                     let sent_at = io.now();
-                    let renewals = io.members.revoke(addr, revocation).await;
+                    let word = io.members.revoke(addr, revocation).await;
                     let _ = io.owner.send(Command::Revoked {
                         lease,
                         label,
                         sent_at,
-                        renewals,
+                        word,
                     });
                 });
             }
--- a/src/transport/mesh.rs
+++ b/src/transport/mesh.rs
@@ -9,7 +9,9 @@
 };
 
 use crate::{
-    coordination::{Answer, Ask, Command, JobProgress, Progress, Renewal, Revocation},
+    coordination::{
+        Answer, Ask, Command, JobProgress, Progress, Renewal, Revocation, SilentMachine, Word,
+    },
     protocol::{self, ids::JobId, job::Submission},
     transport::server::Door,
 };
@@ -50,7 +52,7 @@
 }
 
 /// A leader's question on its way to the owner.
-pub type Questions = mpsc::UnboundedSender<(Revocation, oneshot::Sender<Vec<Renewal>>)>;
+pub type Questions = mpsc::UnboundedSender<(Revocation, oneshot::Sender<Word>)>;
 
 struct Service {
     owner: mpsc::UnboundedSender<Command>,
@@ -102,7 +104,11 @@
             machines: message
                 .machines
                 .into_iter()
-                .map(|machine| (machine.name, machine.session))
+                .map(|machine| SilentMachine {
+                    name: machine.name,
+                    session: machine.session,
+                    inquiry: machine.inquiry,
+                })
                 .collect(),
             asked_ms: message.asked_ms,
         };
@@ -111,13 +117,16 @@
         self.questions
             .send((revocation, send))
             .map_err(|_| gone())?;
-        let renewals = receive.await.map_err(|_| gone())?;
+        let word = receive.await.map_err(|_| gone())?;
         Ok(Response::new(Renewals {
-            renewals: renewals
+            hears: word.hears as u32,
+            renewals: word
+                .renewals
                 .into_iter()
                 .map(|renewal| proto::Renewal {
                     machine: renewal.machine,
                     age_ms: renewal.age_ms,
+                    inquiry: renewal.inquiry,
                 })
                 .collect(),
         }))
@@ -195,14 +204,18 @@
     }
 
     /// Asks a member about silent machines. `None`: no answer.
-    pub async fn revoke(&self, addr: SocketAddrV4, revocation: Revocation) -> Option<Vec<Renewal>> {
+    pub async fn revoke(&self, addr: SocketAddrV4, revocation: Revocation) -> Option<Word> {
         let mut client = self.channels.get(&addr).cloned()?;
         let message = proto::Revocation {
             term: revocation.term,
             machines: revocation
                 .machines
                 .into_iter()
-                .map(|(name, session)| proto::SilentMachine { name, session })
+                .map(|machine| proto::SilentMachine {
+                    name: machine.name,
+                    session: machine.session,
+                    inquiry: machine.inquiry,
+                })
                 .collect(),
             asked_ms: revocation.asked_ms,
         };
@@ -210,7 +223,11 @@
         let renewals = reply.renewals.into_iter().map(|renewal| Renewal {
             machine: renewal.machine,
             age_ms: renewal.age_ms,
+            inquiry: renewal.inquiry,
         });
-        Some(renewals.collect())
+        Some(Word {
+            renewals: renewals.collect(),
+            hears: reply.hears as usize,
+        })
     }
 }
--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -386,7 +386,7 @@
                     );
                 }
             }
-            Effect::Revoked(id, renewals) => {
+            Effect::Revoked(id, word) => {
                 if let Some((asker, asker_life, sent_at, lease, label)) =
                     self.revokes.remove(&(index, life, id))
                 {
@@ -396,7 +396,7 @@
                             lease,
                             label,
                             sent_at,
-                            renewals: Some(renewals),
+                            word: Some(word),
                         };
                         self.later(asker, asker_life, time, command);
                     }
