--- a/src/bookkeeping/autoscaler.rs
+++ b/src/bookkeeping/autoscaler.rs
@@ -4,7 +4,9 @@
 
 use super::{
     Millis,
-    books::{Amounts, Books, Job, MachineIx, MachineState, Phase, TypeIx, ZoneIx},
+    books::{
+        Amounts, Books, Job, JobIx, MachineIx, MachineState, Phase, QueueKey, TypeIx, ZoneIx,
+    },
     millis,
 };
 use crate::protocol::job::Kind;
@@ -36,6 +38,9 @@
 /// How long an array without any aim waits for others to finish before more is rented for it.
 const NO_AIM_S: f64 = 60.0;
 const MAX_RENT: u32 = 50;
+/// Machines that arrays may ask for in one plan: few rentals are under way at a time, and the next plan is
+/// made anew.
+const MAX_FRESH: usize = 100;
 
 #[derive(Default)]
 pub struct Autoscaler {
@@ -53,6 +58,41 @@
     fresh: bool,
 }
 
+struct Bins {
+    bins: Vec<Bin>,
+    /// How many there are in each zone.
+    crowd: Vec<usize>,
+    /// How many of them are to be rented.
+    fresh: usize,
+}
+
+impl Bins {
+    fn new(books: &Books, bins: Vec<Bin>) -> Self {
+        let mut crowd = vec![0; books.zone_names.len()];
+        for bin in &bins {
+            crowd[bin.offer.zone.at()] += 1;
+        }
+        Bins {
+            bins,
+            crowd,
+            fresh: 0,
+        }
+    }
+
+    /// A new one, for a task that takes `need` of it.
+    fn add(&mut self, books: &Books, offer: Offer, need: &Amounts) {
+        let mut room = whole(books, offer.type_ix);
+        room.sub(need);
+        self.crowd[offer.zone.at()] += 1;
+        self.fresh += 1;
+        self.bins.push(Bin {
+            offer,
+            room,
+            fresh: true,
+        });
+    }
+}
+
 impl Autoscaler {
     pub fn refuse(&mut self, offer: Offer, now: Millis) {
         self.refused.insert(offer, now + NO_CAPACITY);
@@ -121,41 +161,13 @@
                 });
             }
         }
-        // Places that running tasks will leave in time, and how many waiting tasks count on them.
-        let mut spoken_for = 0;
-        for team in &books.teams {
-            let mut budget = team.booked;
-            for &(_, _, job) in &team.queue {
-                let job = books.job(job);
-                let mut slots = job.waiting.len();
-                if job.kind == Kind::Array {
-                    let window = self.can_wait_s(books, job, wall_ms) * SAFETY;
-                    let freed = turnover(books, job, window, now) as usize;
-                    let covered = slots.min(freed.saturating_sub(spoken_for));
-                    spoken_for += covered;
-                    slots -= covered;
-                }
-                let mut by_zone = job.by_zone.clone();
-                for _ in 0..slots {
-                    let mut asked = budget;
-                    asked.add(&job.need);
-                    if (team.limit.cpus > 0.0 && asked.cpus > team.limit.cpus + 1e-6)
-                        || (team.limit.gpus > 0.0 && asked.gpus > team.limit.gpus + 1e-6)
-                    {
-                        break;
-                    }
-                    budget = asked;
-                    let Some(zone) = self.fit(books, job, &by_zone, &mut bins) else {
-                        break;
-                    };
-                    by_zone[zone.at()] += 1;
-                }
-            }
-        }
+        let mut bins = Bins::new(books, bins);
+        self.want(books, &mut bins, now, wall_ms);
         let spare = self.spare(books, now);
         let mut missing = Vec::new();
         for need in &spare {
             match bins
+                .bins
                 .iter_mut()
                 .find(|bin| !bin.offer.spot && need.fits_in(&bin.room))
             {
@@ -165,6 +177,7 @@
         }
         for need in missing {
             if let Some(bin) = bins
+                .bins
                 .iter_mut()
                 .find(|bin| !bin.offer.spot && need.fits_in(&bin.room))
             {
@@ -172,17 +185,11 @@
             } else if let Some(offer) =
                 self.cheapest(books, &bins, &need, u64::MAX, 1, false, |_| true)
             {
-                let mut room = whole(books, offer.type_ix);
-                room.sub(&need);
-                bins.push(Bin {
-                    offer,
-                    room,
-                    fresh: true,
-                });
+                bins.add(books, offer, &need);
             }
         }
         let mut wanted: HashMap<Offer, u32> = HashMap::new();
-        for bin in bins.iter().filter(|bin| bin.fresh) {
+        for bin in bins.bins.iter().filter(|bin| bin.fresh) {
             *wanted.entry(bin.offer).or_default() += 1;
         }
         let mut rentals: Vec<Rental> = wanted
@@ -202,6 +209,64 @@
         (rentals, returns)
     }
 
+    /// Puts what waits into the bins, and into new ones where need be: the most urgent first, for an
+    /// array may want more machines than are asked for at once.
+    fn want(&self, books: &Books, bins: &mut Bins, now: Millis, wall_ms: u64) {
+        let mut jobs: Vec<QueueKey> = books
+            .teams
+            .iter()
+            .flat_map(|team| team.queue.iter().copied())
+            .collect();
+        jobs.sort_unstable();
+        let freed = Freed::new(books, now);
+        let mut budgets: Vec<Amounts> = books.teams.iter().map(|team| team.booked).collect();
+        // How many waiting tasks count on places that running tasks will leave in time.
+        let mut spoken_for = 0;
+        let mut unmet: Vec<&Job> = Vec::new();
+        for (.., job) in jobs {
+            let job = books.job(job);
+            let mut slots = job.waiting.len();
+            if job.kind == Kind::Array {
+                // What found nothing finds nothing for those who ask for as much.
+                let hopeless = |other: &&Job| {
+                    other.need.fits_in(&job.need)
+                        && job.types & !other.types == 0
+                        && (other.spot || !job.spot)
+                };
+                if bins.fresh >= MAX_FRESH || unmet.iter().any(hopeless) {
+                    continue;
+                }
+                let window = self.can_wait_s(books, job, wall_ms) * SAFETY;
+                let places = freed.places(job, window) as usize;
+                let covered = slots.min(places.saturating_sub(spoken_for));
+                spoken_for += covered;
+                slots -= covered;
+            }
+            let limit = &books.teams[job.team.at()].limit;
+            let budget = &mut budgets[job.team.at()];
+            let mut by_zone = job.by_zone.clone();
+            let mut from = 0;
+            for _ in 0..slots {
+                let mut asked = *budget;
+                asked.add(&job.need);
+                if (limit.cpus > 0.0 && asked.cpus > limit.cpus + 1e-6)
+                    || (limit.gpus > 0.0 && asked.gpus > limit.gpus + 1e-6)
+                {
+                    break;
+                }
+                *budget = asked;
+                let Some(zone) = self.fit(books, job, &by_zone, bins, &mut from) else {
+                    if job.kind == Kind::Array && job.zone.is_none() && !job.one_zone && !job.spread
+                    {
+                        unmet.push(job);
+                    }
+                    break;
+                };
+                by_zone[zone.at()] += 1;
+            }
+        }
+    }
+
     /// How long the job's tasks can wait for a place and still be on time: by its deadline, or by
     /// what is aimed at for its class.
     fn can_wait_s(&self, books: &Books, job: &Job, wall_ms: u64) -> f64 {
@@ -212,13 +277,15 @@
         (due - waited).max(0.0)
     }
 
-    /// Puts a task into a bin, a new one if need be; the zone it went to.
+    /// Puts a task into a bin, a new one if need be; the zone it went to. The bins before `from` were
+    /// too small for the job's earlier tasks, or in zones that are full of them.
     fn fit(
         &self,
         books: &Books,
         job: &Job,
         by_zone: &[u32],
-        bins: &mut Vec<Bin>,
+        bins: &mut Bins,
+        from: &mut usize,
     ) -> Option<ZoneIx> {
         let half = job.tasks.len().div_ceil(2) as u32;
         let zone_ok = |zone: ZoneIx| {
@@ -230,15 +297,22 @@
                         .enumerate()
                         .all(|(other, &count)| count == 0 || other == zone.at()))
         };
-        if let Some(bin) = bins.iter_mut().find(|bin| {
+        let found = bins.bins[*from..].iter().position(|bin| {
             (!bin.offer.spot || job.spot)
                 && job.allows_type(bin.offer.type_ix)
                 && zone_ok(bin.offer.zone)
                 && job.need.fits_in(&bin.room)
-        }) {
+        });
+        if let Some(found) = found {
+            *from += found;
+            let bin = &mut bins.bins[*from];
             bin.room.sub(&job.need);
             return Some(bin.offer.zone);
         }
+        *from = bins.bins.len();
+        if job.kind == Kind::Array && bins.fresh >= MAX_FRESH {
+            return None;
+        }
         let offer = self.cheapest(
             books,
             bins,
@@ -248,13 +322,7 @@
             job.spot,
             zone_ok,
         )?;
-        let mut room = whole(books, offer.type_ix);
-        room.sub(&job.need);
-        bins.push(Bin {
-            offer,
-            room,
-            fresh: true,
-        });
+        bins.add(books, offer, &job.need);
         Some(offer.zone)
     }
 
@@ -264,7 +332,7 @@
     fn cheapest(
         &self,
         books: &Books,
-        bins: &[Bin],
+        bins: &Bins,
         need: &Amounts,
         types: u64,
         tasks: usize,
@@ -313,7 +381,7 @@
                         _ if spot => continue,
                         _ => kind.price,
                     };
-                    let crowd = bins.iter().filter(|bin| bin.offer.zone == zone).count();
+                    let crowd = bins.crowd[zone.at()];
                     let cost = price / used;
                     if best.is_none_or(|(least, few, _)| {
                         cost < least - 1e-9 || (cost < least + 1e-9 && crowd < few)
@@ -390,30 +458,78 @@
     }
 }
 
-/// How many tasks of this job could be started within `window_s` in places that running array tasks
-/// leave.
-fn turnover(books: &Books, job: &Job, window_s: f64, now: Millis) -> f64 {
-    let mut places = 0.0;
-    for machine in &books.machines {
-        if !machine.usable() || (machine.spot && !job.spot) || !job.allows_type(machine.type_ix) {
-            continue;
-        }
-        for attempt in &machine.attempts {
-            let other = books.job(attempt.job);
-            if attempt.phase == Phase::Ended
-                || other.kind != Kind::Array
-                || !job.need.fits_in(&other.need)
-            {
-                continue;
-            }
-            let ran = attempt
-                .running_since
-                .map_or(0.0, |since| now.saturating_sub(since) as f64 / 1000.0);
-            let left = (other.estimate_s - ran).max(other.estimate_s * 0.25);
-            if left < window_s {
-                places += 1.0 + (window_s - left) / job.estimate_s.max(1.0);
+/// When running array tasks will leave their places, for those that offer alike.
+struct Places {
+    type_ix: TypeIx,
+    spot: bool,
+    need: Amounts,
+    /// Seconds from now, in order, and their sums from the start.
+    left: Vec<f64>,
+    sums: Vec<f64>,
+}
+
+/// The places that running array tasks will leave. Hundreds of jobs ask in one plan, so they are
+/// sorted out once.
+struct Freed {
+    places: Vec<Places>,
+}
+
+impl Freed {
+    fn new(books: &Books, now: Millis) -> Self {
+        let mut index: HashMap<(TypeIx, bool, JobIx), usize> = HashMap::new();
+        let mut places: Vec<Places> = Vec::new();
+        for machine in books.machines.iter().filter(|machine| machine.usable()) {
+            for attempt in &machine.attempts {
+                let job = books.job(attempt.job);
+                if attempt.phase == Phase::Ended || job.kind != Kind::Array {
+                    continue;
+                }
+                let ran = attempt
+                    .running_since
+                    .map_or(0.0, |since| now.saturating_sub(since) as f64 / 1000.0);
+                let key = (machine.type_ix, machine.spot, attempt.job);
+                let at = *index.entry(key).or_insert_with(|| {
+                    places.push(Places {
+                        type_ix: machine.type_ix,
+                        spot: machine.spot,
+                        need: job.need,
+                        left: Vec::new(),
+                        sums: Vec::new(),
+                    });
+                    places.len() - 1
+                });
+                let left = (job.estimate_s - ran).max(job.estimate_s * 0.25);
+                places[at].left.push(left);
             }
         }
+        for each in &mut places {
+            each.left.sort_by(f64::total_cmp);
+            let sums = each.left.iter().scan(0.0, |sum, left| {
+                *sum += left;
+                Some(*sum)
+            });
+            each.sums = sums.collect();
+        }
+        Freed { places }
+    }
+
+    /// How many tasks of this job could be started within `window_s` in places that are left: one
+    /// when it is left, and others after it in the time that remains.
+    fn places(&self, job: &Job, window_s: f64) -> f64 {
+        if window_s <= 0.0 {
+            return 0.0;
+        }
+        let suits = |each: &&Places| {
+            (!each.spot || job.spot)
+                && job.allows_type(each.type_ix)
+                && job.need.fits_in(&each.need)
+        };
+        let all = self.places.iter().filter(suits).map(|each| {
+            let count = each.left.partition_point(|left| *left < window_s);
+            let sum = count.checked_sub(1).map_or(0.0, |last| each.sums[last]);
+            let count = count as f64;
+            count + (count * window_s - sum) / job.estimate_s.max(1.0)
+        });
+        all.sum()
     }
-    places
 }
--- a/src/bookkeeping/books.rs
+++ b/src/bookkeeping/books.rs
@@ -97,6 +97,9 @@
     }
 }
 
+/// A job's place in its team's queue.
+pub type QueueKey = (Priority, u64, JobIx);
+
 pub struct Team {
     pub name: String,
     pub guarantee: Amounts,
@@ -104,7 +107,7 @@
     pub limit: Amounts,
     pub booked: Amounts,
     /// Jobs with waiting tasks, the most urgent and oldest first.
-    pub queue: BTreeSet<(Priority, u64, JobIx)>,
+    pub queue: BTreeSet<QueueKey>,
 }
 
 impl Team {
--- a/src/bookkeeping/scheduler.rs
+++ b/src/bookkeeping/scheduler.rs
@@ -7,11 +7,12 @@
 use std::{
     cmp::Reverse,
     collections::{BinaryHeap, HashMap, HashSet},
+    ops::Bound,
 };
 
 use super::{
     Millis,
-    books::{Amounts, Attempt, Books, Job, JobIx, Machine, MachineIx, Phase, TeamIx},
+    books::{Amounts, Attempt, Books, Job, JobIx, Machine, MachineIx, Phase, QueueKey, TeamIx},
 };
 use crate::protocol::job::{Kind, Priority};
 
@@ -173,18 +174,22 @@
         .filter(|team| !books.teams[team.at()].queue.is_empty())
         .map(|team| Reverse(turn(books, team, &deserved)))
         .collect();
-    let mut stuck: HashSet<JobIx> = HashSet::new();
+    // Where each team's queue goes on: whoever came before sits this round out. Searching from the
+    // start for each task took a square of the queue's length.
+    let mut from: Vec<Option<QueueKey>> = vec![None; books.teams.len()];
     let mut full: Vec<Wish> = Vec::new();
     let mut placed = 0;
     while let Some(Reverse((_, _, team))) = heap.pop() {
-        let next = books.teams[team.at()]
-            .queue
-            .iter()
-            .map(|&(_, _, job)| job)
-            .find(|job| !stuck.contains(job));
-        let Some(job) = next else {
+        let after = from[team.at()].map_or(Bound::Unbounded, Bound::Excluded);
+        let queue = &books.teams[team.at()].queue;
+        let covered = |job: JobIx| full.iter().any(|wish| wish.covers(books.job(job)));
+        let next = queue
+            .range((after, Bound::Unbounded))
+            .find(|(.., job)| !covered(*job));
+        let Some(&key) = next else {
             continue;
         };
+        let job = key.2;
         if books.job(job).kind == Kind::Gang {
             match gang(books, job, now) {
                 Some(places) => {
@@ -194,19 +199,12 @@
                         looks.filled.push(machine);
                     }
                 }
-                None => {
-                    stuck.insert(job);
-                }
+                None => from[team.at()] = Some(key),
             }
             heap.push(Reverse(turn(books, team, &deserved)));
             continue;
         }
         let entry = books.job(job);
-        if full.iter().any(|wish| wish.covers(entry)) {
-            stuck.insert(job);
-            heap.push(Reverse(turn(books, team, &deserved)));
-            continue;
-        }
         let task = entry.waiting.first().copied();
         let ready = entry.not_before <= now && books.teams[team.at()].allows(&entry.need);
         let target = task.filter(|_| ready).and_then(|task| {
@@ -230,7 +228,7 @@
             }
             None => {
                 full.extend(Wish::of(books.job(job), books, now));
-                stuck.insert(job);
+                from[team.at()] = Some(key);
             }
         }
         if placed >= ROUND {
@@ -481,7 +479,7 @@
 /// The trial fit. For each team with waiting work that fits nowhere: would it fit if the excess of
 /// over-share teams, or work of lower priority, were stopped? Only then are those tasks named.
 pub fn preempt(books: &Books, now: Millis, only_services: bool) -> Vec<Victim> {
-    let waits = |&(_, _, job): &(Priority, u64, JobIx)| {
+    let waits = |&(_, _, job): &QueueKey| {
         let job = books.job(job);
         job.kind != Kind::Gang && (!only_services || job.kind == Kind::Service)
     };
