Who is at fault, jobs or machines; urgent jobs have the room that gives way for them

Jobs with a mistake: three machines that fail nobody else convict a job that gets nowhere; it is tried one task at a time, nothing is rented or stopped for it, and what machines were blamed for is taken back; a successor is told. Preemption: jobs with aims are checked for every second; the room is kept 3 s for them.

--- a/src/bookkeeping/autoscaler.rs
+++ b/src/bookkeeping/autoscaler.rs
@@ -4,9 +4,7 @@
 
 use super::{
     Millis,
-    books::{
-        Amounts, Books, Job, JobIx, MachineIx, MachineState, Phase, QueueKey, TypeIx, ZoneIx,
-    },
+    books::{Amounts, Books, Job, JobIx, MachineIx, MachineState, Phase, QueueKey, TypeIx, ZoneIx},
     millis,
 };
 use crate::protocol::job::Kind;
@@ -225,6 +223,10 @@
         let mut unmet: Vec<&Job> = Vec::new();
         for (.., job) in jobs {
             let job = books.job(job);
+            // Nothing is rented for a job that fails everywhere.
+            if job.at_fault {
+                continue;
+            }
             let mut slots = job.waiting.len();
             if job.kind == Kind::Array {
                 // What found nothing finds nothing for those who ask for as much.
--- a/src/bookkeeping/books.rs
+++ b/src/bookkeeping/books.rs
@@ -186,6 +186,8 @@
     /// Backing off after failures: nothing of the job is placed before.
     pub not_before: Millis,
     pub errors: u32,
+    /// It fails on every machine: submitted with a mistake, by all that is known.
+    pub at_fault: bool,
     /// What its completed tasks took.
     pub pace: Mean,
     /// Machines on which it failed lately.
@@ -237,6 +239,17 @@
         !self.spread || (self.by_zone[zone.at()] as usize) < self.tasks.len().div_ceil(2)
     }
 
+    /// How many of its tasks may be put on machines now. Of a job that fails everywhere one at a time is
+    /// tried.
+    pub fn open_slots(&self) -> usize {
+        let waiting = self.waiting.len();
+        if !self.at_fault {
+            return waiting;
+        }
+        let tried = self.tasks.len() - waiting > self.done as usize;
+        waiting.min(usize::from(!tried))
+    }
+
     pub fn allows_type(&self, index: TypeIx) -> bool {
         self.types & (1 << index.0) != 0
     }
@@ -331,9 +344,15 @@
     pub silent: bool,
     /// Jobs that failed here since one last succeeded.
     pub failures: Vec<JobId>,
+    /// To be replaced for that.
+    pub sick: bool,
     /// How its tasks compare with other tasks of their jobs.
     pub pace: Mean,
     pub avoid_until: Millis,
+    /// Work was stopped here for this job: until then its room is nobody else's of the same or a
+    /// lower priority. Without that the heap gave it back to the team it was taken from, and the
+    /// next check took it again.
+    pub held_for: Option<(JobIx, Millis)>,
 }
 
 impl Machine {
@@ -665,6 +684,7 @@
             finishing: false,
             not_before: 0,
             errors: 0,
+            at_fault: false,
             pace: Mean::default(),
             failed_on: VecDeque::new(),
         };
@@ -728,8 +748,10 @@
             draining,
             silent: false,
             failures: Vec::new(),
+            sick: false,
             pace: Mean::default(),
             avoid_until: 0,
+            held_for: None,
         });
         self.machine_index.insert(name.to_owned(), index);
         index
@@ -775,6 +797,17 @@
             && job.allows_zone(machine.zone)
     }
 
+    /// Whether what is free there is kept for another job.
+    pub fn kept_from(&self, job: JobIx, machine: &Machine, now: Millis) -> bool {
+        machine.held_for.is_some_and(|(other, until)| {
+            let other_job = self.job(other);
+            now < until
+                && other != job
+                && !other_job.waiting.is_empty()
+                && other_job.priority <= self.job(job).priority
+        })
+    }
+
     /// Books a new attempt; its start may be sent once that is stored.
     pub fn place(&mut self, job: JobIx, task: u32, on: MachineIx, now: Millis) {
         let entry = &mut self.jobs[job.at()].tasks[task as usize];
--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -1,6 +1,7 @@
 //! What runs where, what waits, and what should be rented: plain data and decisions without I/O.
 
 pub mod autoscaler;
+pub mod blame;
 pub mod books;
 pub mod pace;
 pub mod scheduler;
--- a/src/bookkeeping/scheduler.rs
+++ b/src/bookkeeping/scheduler.rs
@@ -56,6 +56,7 @@
 /// What a task asked for that no machine had: nobody who asks for as much or more needs to look
 /// again this round, for a round only takes room. Thousands of equal tasks share one look.
 struct Wish {
+    priority: Priority,
     need: Amounts,
     types: u64,
     spot: bool,
@@ -69,17 +70,24 @@
             && !job.one_zone
             && !job.spread
             && job.failed_on.is_empty()
+            && !job.at_fault
             && job.not_before <= now
             && books.teams[job.team.at()].allows(&job.need);
         anywhere.then_some(Wish {
+            priority: job.priority,
             need: job.need,
             types: job.types,
             spot: job.spot,
         })
     }
 
-    fn covers(&self, job: &Job) -> bool {
-        job.kind == Kind::Array
+    /// `kept_for`: jobs for which room is kept from others of the same or a lower priority. What one of
+    /// those others did not find may be there for them, and for who is more urgent.
+    fn covers(&self, index: JobIx, job: &Job, kept_for: &HashSet<JobIx>) -> bool {
+        let alike =
+            kept_for.is_empty() || (self.priority <= job.priority && !kept_for.contains(&index));
+        alike
+            && job.kind == Kind::Array
             && self.need.fits_in(&job.need)
             && job.types & !self.types == 0
             && (self.spot || !job.spot)
@@ -116,6 +124,7 @@
             let machine = books.machine(at);
             let fits = books.fits(entry, machine)
                 && machine.avoid_until <= now
+                && !books.kept_from(job, machine, now)
                 && !entry.failed_on.contains(&at);
             fits.then(|| (score(books, entry, machine, now), at))
         };
@@ -177,12 +186,20 @@
     // Where each team's queue goes on: whoever came before sits this round out. Searching from the
     // start for each task took a square of the queue's length.
     let mut from: Vec<Option<QueueKey>> = vec![None; books.teams.len()];
+    let kept = books.machines.iter().filter_map(|machine| machine.held_for);
+    let kept_for: HashSet<JobIx> = kept
+        .filter(|(_, until)| now < *until)
+        .map(|(job, _)| job)
+        .collect();
     let mut full: Vec<Wish> = Vec::new();
     let mut placed = 0;
     while let Some(Reverse((_, _, team))) = heap.pop() {
         let after = from[team.at()].map_or(Bound::Unbounded, Bound::Excluded);
         let queue = &books.teams[team.at()].queue;
-        let covered = |job: JobIx| full.iter().any(|wish| wish.covers(books.job(job)));
+        let covered = |job: JobIx| {
+            let entry = books.job(job);
+            full.iter().any(|wish| wish.covers(job, entry, &kept_for))
+        };
         let next = queue
             .range((after, Bound::Unbounded))
             .find(|(.., job)| !covered(*job));
@@ -206,7 +223,9 @@
         }
         let entry = books.job(job);
         let task = entry.waiting.first().copied();
-        let ready = entry.not_before <= now && books.teams[team.at()].allows(&entry.need);
+        let ready = entry.not_before <= now
+            && entry.open_slots() > 0
+            && books.teams[team.at()].allows(&entry.need);
         let target = task.filter(|_| ready).and_then(|task| {
             let plain = looks.best(books, job, task, now);
             if entry.kind != Kind::Service {
@@ -426,7 +445,7 @@
                 .iter()
                 .map(|&(_, _, job)| {
                     let job = books.job(job);
-                    books.units(&job.need) * job.waiting.len() as f64
+                    books.units(&job.need) * job.open_slots() as f64
                 })
                 .sum();
             let demand = books.units(&team.booked) + waiting;
@@ -469,8 +488,32 @@
     Priority,
 }
 
+/// Whose waiting tasks others give way for at one check. Who is waited for sooner is checked for more
+/// often.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Whose {
+    Services,
+    /// Services, and jobs with an aim that they can still meet.
+    Aimed,
+    All,
+}
+
+impl Whose {
+    fn covers(self, job: &Job) -> bool {
+        // A gang waits for room of its own; nobody is stopped for a part of it.
+        job.kind != Kind::Gang
+            && match self {
+                Whose::Services => job.kind == Kind::Service,
+                Whose::Aimed => job.kind == Kind::Service || !job.latest.is_empty(),
+                Whose::All => true,
+            }
+    }
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub struct Victim {
+    /// The job that is to have its place.
+    pub for_job: JobIx,
     pub machine: MachineIx,
     pub at: usize,
     pub reason: Reason,
@@ -478,11 +521,8 @@
 
 /// The trial fit. For each team with waiting work that fits nowhere: would it fit if the excess of
 /// over-share teams, or work of lower priority, were stopped? Only then are those tasks named.
-pub fn preempt(books: &Books, now: Millis, only_services: bool) -> Vec<Victim> {
-    let waits = |&(_, _, job): &QueueKey| {
-        let job = books.job(job);
-        job.kind != Kind::Gang && (!only_services || job.kind == Kind::Service)
-    };
+pub fn preempt(books: &Books, now: Millis, whose: Whose) -> Vec<Victim> {
+    let waits = |&(_, _, job): &QueueKey| whose.covers(books.job(job));
     if !books.teams.iter().any(|team| team.queue.iter().any(waits)) {
         return Vec::new();
     }
@@ -521,17 +561,27 @@
         let guarantee = books.units(&books.teams[team].guarantee);
         let mut hope = deserved[team].min(guarantee) - booked[team];
         let mut budget = books.teams[team].booked;
-        for &(priority, _, job) in &books.teams[team].queue {
+        for &(_, _, job) in &books.teams[team].queue {
             let entry = books.job(job);
             // A gang waits for room of its own; nobody is stopped for a part of it.
-            if entry.kind == Kind::Gang
-                || entry.not_before > now
-                || (only_services && entry.kind != Kind::Service)
-            {
+            // Nobody gives way for a job that fails everywhere.
+            if entry.not_before > now || entry.at_fault || !whose.covers(entry) {
                 continue;
             }
             let units = books.units(&entry.need);
-            for _ in 0..entry.waiting.len().min(32) {
+            let mut trial = Trial {
+                books,
+                index: job,
+                job: entry,
+                team: TeamIx(team as u32),
+                starved: units <= hope + 1e-6,
+                rooms: &mut rooms,
+                excess: &mut excess,
+                taken: &mut taken,
+                now,
+            };
+            let mut places = trial.places();
+            for _ in 0..entry.waiting.len().min(ROUND) {
                 let mut asked = budget;
                 asked.add(&entry.need);
                 let limit = &books.teams[team].limit;
@@ -540,32 +590,13 @@
                 {
                     break;
                 }
-                let starved = units <= hope + 1e-6;
-                let Some((machine, chosen)) = trial(
-                    books,
-                    entry,
-                    TeamIx(team as u32),
-                    priority,
-                    starved,
-                    &rooms,
-                    &excess,
-                    &taken,
-                    now,
-                ) else {
+                trial.starved = units <= hope + 1e-6;
+                let Some(chosen) = trial.best(&mut places) else {
                     break;
                 };
                 budget = asked;
                 hope -= units;
-                let room = &mut rooms[machine.at()];
-                for victim in chosen {
-                    let attempt = &books.machine(machine).attempts[victim.at];
-                    let loser = books.job(attempt.job);
-                    room.add(&loser.need);
-                    excess[loser.team.at()] -= books.units(&loser.need);
-                    taken.insert((machine, victim.at));
-                    victims.push(victim);
-                }
-                room.sub(&entry.need);
+                victims.extend(chosen);
             }
         }
     }
@@ -583,33 +614,76 @@
     }
 }
 
-#[allow(clippy::too_many_arguments)]
-fn trial(
-    books: &Books,
-    job: &Job,
+/// The trial fit of one job's tasks.
+struct Trial<'a> {
+    books: &'a Books,
+    index: JobIx,
+    job: &'a Job,
     team: TeamIx,
-    priority: Priority,
+    /// A further task would still be within what its team deserves and is guaranteed.
     starved: bool,
-    rooms: &[Amounts],
-    excess: &[f64],
-    taken: &HashSet<(MachineIx, usize)>,
+    /// Room on each machine.
+    rooms: &'a mut [Amounts],
+    /// What each team has beyond what it deserves.
+    excess: &'a mut [f64],
+    taken: &'a mut HashSet<(MachineIx, usize)>,
     now: Millis,
-) -> Option<(MachineIx, Vec<Victim>)> {
-    let mut best: Option<(f64, MachineIx, Vec<Victim>)> = None;
-    for (index, machine) in books.machines.iter().enumerate() {
-        let index = MachineIx(index as u32);
+}
+
+/// A machine on which a task would fit, and what that would cost in thousandths of a second.
+type Place = Reverse<(u64, MachineIx)>;
+
+impl Trial<'_> {
+    /// All machines on which a task would fit. Equal tasks share the look at them.
+    fn places(&self) -> BinaryHeap<Place> {
+        let machines = (0..self.books.machines.len() as u32).map(MachineIx);
+        machines
+            .filter_map(|at| self.place(at).map(|(cost, _)| Reverse((cost, at))))
+            .collect()
+    }
+
+    /// Who gives way for the next task, on the machine where that costs least. Earlier choices make a
+    /// place dearer or impossible, never cheaper but where they left room.
+    fn best(&mut self, places: &mut BinaryHeap<Place>) -> Option<Vec<Victim>> {
+        while let Some(Reverse((known, at))) = places.pop() {
+            let Some((cost, chosen)) = self.place(at) else {
+                continue;
+            };
+            if cost > known {
+                places.push(Reverse((cost, at)));
+                continue;
+            }
+            for victim in &chosen {
+                let attempt = &self.books.machine(at).attempts[victim.at];
+                let loser = self.books.job(attempt.job);
+                self.rooms[at.at()].add(&loser.need);
+                self.excess[loser.team.at()] -= self.books.units(&loser.need);
+                self.taken.insert((at, victim.at));
+            }
+            self.rooms[at.at()].sub(&self.job.need);
+            if let Some((cost, _)) = self.place(at) {
+                places.push(Reverse((cost, at)));
+            }
+            return Some(chosen);
+        }
+        None
+    }
+
+    /// Who would have to give way for a task on this machine, and what that costs.
+    fn place(&self, index: MachineIx) -> Option<(u64, Vec<Victim>)> {
+        let (books, job, machine) = (self.books, self.job, self.books.machine(index));
         if !machine.usable()
-            || machine.avoid_until > now
+            || machine.avoid_until > self.now
             || (machine.spot && !job.spot)
             || !job.allows_type(machine.type_ix)
             || !job.allows_zone(machine.zone)
         {
-            continue;
+            return None;
         }
-        let mut room = rooms[index.at()];
+        let mut room = self.rooms[index.at()];
         if job.need.fits_in(&room) {
             // It fits without anybody giving way, or will as soon as what was stopped has ended.
-            return Some((index, Vec::new()));
+            return Some((0, Vec::new()));
         }
         let mut candidates: Vec<(Priority, f64, usize, Reason)> = machine
             .attempts
@@ -619,36 +693,43 @@
                 attempt.phase != Phase::Ended
                     && attempt.stop.is_none()
                     && books.job(attempt.job).kind != Kind::Gang
-                    && !taken.contains(&(index, *at))
+                    && !self.taken.contains(&(index, *at))
             })
             .filter_map(|(at, attempt)| {
                 let loser = books.job(attempt.job);
-                let over = excess[loser.team.at()] + 1e-6 >= books.units(&loser.need);
-                let reason = if loser.priority > priority {
+                let over = self.excess[loser.team.at()] + 1e-6 >= books.units(&loser.need);
+                let reason = if loser.priority > job.priority {
                     Reason::Priority
-                } else if starved && loser.team != team && over {
+                } else if self.starved && loser.team != self.team && over {
                     Reason::Share
                 } else {
                     return None;
                 };
-                let lost = lost_s(loser, attempt.running_since, now);
+                let lost = lost_s(loser, attempt.running_since, self.now);
                 Some((loser.priority, lost, at, reason))
             })
             .collect();
         candidates.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.total_cmp(&b.1)));
-        let mut left = excess.to_vec();
+        // What each team has lost in this trial.
+        let mut lost_by: Vec<(TeamIx, f64)> = Vec::new();
         let mut chosen = Vec::new();
         let mut cost = 0.0;
         for (_, lost, at, reason) in candidates {
             let loser = books.job(machine.attempts[at].job);
             let units = books.units(&loser.need);
-            if reason == Reason::Share && left[loser.team.at()] + 1e-6 < units {
+            let gone: f64 = lost_by
+                .iter()
+                .filter(|(team, _)| *team == loser.team)
+                .map(|(_, units)| units)
+                .sum();
+            if reason == Reason::Share && self.excess[loser.team.at()] - gone + 1e-6 < units {
                 continue;
             }
-            left[loser.team.at()] -= units;
+            lost_by.push((loser.team, units));
             room.add(&loser.need);
             cost += lost + 1.0;
             chosen.push(Victim {
+                for_job: self.index,
                 machine: index,
                 at,
                 reason,
@@ -658,15 +739,12 @@
             }
         }
         if !job.need.fits_in(&room) {
-            continue;
+            return None;
         }
         if !machine.has_image(job.image) {
             let rate = books.types[machine.type_ix.at()].fetch_gb_per_s;
             cost += job.image_gb / rate.max(0.01);
         }
-        if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
-            best = Some((cost, index, chosen));
-        }
+        Some(((cost * 1000.0) as u64, chosen))
     }
-    best.map(|(_, index, chosen)| (index, chosen))
 }
--- a/src/bookkeeping/store.rs
+++ b/src/bookkeeping/store.rs
@@ -181,8 +181,14 @@
     pub images: Vec<(String, f64)>,
     /// A machine's name, and a bit for each image, and [`TO_BE_REPLACED`].
     pub machines: Vec<(String, u64)>,
+    /// Jobs that fail everywhere; in the first record only.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub at_fault: Vec<JobId>,
 }
 
+/// Jobs at fault that are told of.
+const AT_FAULT_TOLD: usize = 64;
+
 /// Set for a machine on which nothing more is to be placed: it failed its tasks, or was slow.
 pub const TO_BE_REPLACED: u64 = 1 << IMAGES_TOLD;
 
@@ -224,6 +230,13 @@
             .sum::<usize>();
     let mut records: Vec<ImagesRecord> = Vec::new();
     let mut used = bytes;
+    let at_fault = books.job_index.values().map(|index| books.job(*index));
+    let mut at_fault: Vec<JobId> = at_fault
+        .filter(|job| job.at_fault && !job.closed)
+        .map(|job| job.id)
+        .take(AT_FAULT_TOLD)
+        .collect();
+    let head = head + at_fault.len() * NUMBER_BYTES;
     for machine in up() {
         let held = machine
             .images
@@ -243,6 +256,7 @@
             records.push(ImagesRecord {
                 images: images.clone(),
                 machines: Vec::new(),
+                at_fault: std::mem::take(&mut at_fault),
             });
         }
         used += size;
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -5,7 +5,7 @@
 use super::{Answer, AskId, Effect, Leading, Node, Revocation, SilentMachine, Word, WorkerTag};
 use crate::{
     bookkeeping::{
-        Millis,
+        Millis, blame,
         books::{Books, MachineIx, MachineState, Phase, TaskStatus, TypeIx},
         millis, pace,
     },
@@ -35,18 +35,12 @@
 const DIRECT_TIMEOUT: Millis = 3000;
 /// Keeps an answer to a report within its limit.
 const MAX_ORDERS: usize = 400;
-/// How long a machine that refused or failed a task is passed over.
-const AVOID: Millis = 10_000;
+/// How long a machine that refused a task is passed over.
 const AVOID_FULL: Millis = 2000;
 /// How often all machines are looked at for orders that are due, and for silence.
 const SWEEP_ORDERS: Millis = 500;
 const WATCH: Millis = 200;
-const MAX_BACKOFF: Millis = 30_000;
-/// Jobs that must have failed on a machine, with none succeeding, before it counts as sick.
-const SICK: usize = 2;
-/// The parts of the fleet, as divisors, that may be on their way out for failing and for being slow: a
-/// wrong guess must not empty it.
-const SICK_PART: usize = 3;
+/// The part of the fleet, as a divisor, that may be on its way out for being slow.
 const SLOW_PART: usize = 10;
 
 impl Node {
@@ -148,7 +142,7 @@
         let foreign = absorb(books, index, report, now);
         settle(books, index, now);
         if drags(books, index, now) {
-            replace(books, index, SLOW_PART, "is slow");
+            books.replace(index, SLOW_PART, "is slow");
         }
         checkin.then(|| Orders {
             token: term,
@@ -557,6 +551,16 @@
         books.machines[on.at()].attempts[at].inherited = false;
         let before = books.machine(on).attempts[at].phase;
         books.advance(on, at, phase, now);
+        let attempt = &books.machine(on).attempts[at];
+        let index = attempt.job;
+        if attempt.phase == Phase::Running
+            && attempt
+                .running_since
+                .is_some_and(|since| since + blame::RAN <= now)
+            && !books.job(index).failed_on.is_empty()
+        {
+            books.got_somewhere(index);
+        }
         if phase == Phase::Running && before < Phase::Running {
             let attempt = &books.machine(on).attempts[at];
             let job = books.job(attempt.job);
@@ -610,11 +614,11 @@
             }
             books.machines[on.at()].attempts[at].settled = true;
             books.machines[on.at()].failures.clear();
-            books.jobs[job.at()].errors = 0;
+            books.got_somewhere(job);
             if let Some(ran) = ran {
                 let (job, machine) = (&mut books.jobs[job.at()], &mut books.machines[on.at()]);
                 if pace::completed(&mut job.pace, &mut machine.pace, ran as f64 / 1000.0) {
-                    replace(books, on, SLOW_PART, "is slow");
+                    books.replace(on, SLOW_PART, "is slow");
                 }
             }
             continue;
@@ -646,35 +650,8 @@
         Cause::NoRoom | Cause::Busy => machine.avoid_until = now + AVOID_FULL,
         Cause::Unknown => job.not_before = now + AVOID_FULL,
         Cause::Error | Cause::Other => {
-            tracing::warn!(job = %job.id, machine = machine.name, "a task failed");
-            job.errors += 1;
-            if !job.failed_on.contains(&on) {
-                job.failed_on.push_back(on);
-            }
-            let elsewhere = job.failed_on.len() >= 3;
-            if job.failed_on.len() > 4 {
-                job.failed_on.pop_front();
-            }
-            // The first failure elsewhere is tried at once; then it backs off.
-            let backoff = 250u64 << job.errors.saturating_sub(1).min(7);
-            job.not_before = now
-                + if job.errors > 1 {
-                    backoff.min(MAX_BACKOFF)
-                } else {
-                    0
-                };
-            // A job that fails everywhere is itself at fault.
-            if elsewhere && job.errors >= 3 {
-                return;
-            }
-            machine.avoid_until = now + AVOID;
-            let id = job.id;
-            if !machine.failures.contains(&id) {
-                machine.failures.push(id);
-            }
-            if machine.failures.len() >= SICK {
-                replace(books, on, SICK_PART, "fails every task");
-            }
+            tracing::debug!(job = %job.id, machine = machine.name, "a task failed");
+            books.failed(index, on, now);
         }
     }
 }
@@ -691,22 +668,6 @@
     pace::drags(running)
 }
 
-/// Places nothing more on the machine, so that it empties and is returned, unless a `part` of the fleet
-/// is on its way out already.
-fn replace(books: &mut Books, on: MachineIx, part: usize, why: &str) {
-    let fleet = books
-        .machines
-        .iter()
-        .filter(|m| m.state == MachineState::Up);
-    let (all, draining) = fleet.fold((0, 0), |(a, d), m| (a + 1, d + usize::from(m.draining)));
-    let machine = &mut books.machines[on.at()];
-    if !machine.draining && (draining + 1) * part <= all.max(part) {
-        tracing::warn!(machine = machine.name, why, "to be replaced");
-        machine.draining = true;
-        books.changed = true;
-    }
-}
-
 /// Attempts that are to stop and whose start was never sent need no orders.
 fn drop_unsent(books: &mut Books, on: MachineIx, now: Millis) {
     for at in (0..books.machine(on).attempts.len()).rev() {
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -13,8 +13,8 @@
 use crate::{
     bookkeeping::{
         Millis,
-        books::Books,
-        scheduler,
+        books::{Books, MachineState},
+        scheduler::{self, Whose},
         store::{self, LeaderRecord, TermRecord},
     },
     protocol::{
@@ -38,8 +38,12 @@
 const ROUND_EVERY: Millis = 40;
 const TURNS: Millis = 250;
 const PREEMPT: Millis = 10_000;
+/// How long room is kept for the job that others gave way for: a stop, its report and a round.
+const HELD: Millis = 3000;
 /// Users wait for services; what gives way to them does so sooner.
 const PREEMPT_FOR_SERVICES: Millis = 200;
+/// So do jobs that are to start or end in time: 10 s are longer than some may wait.
+const PREEMPT_FOR_AIMS: Millis = 1000;
 
 /// Trying to become the leader.
 #[derive(Debug, Default)]
@@ -93,8 +97,8 @@
     turned_at: Millis,
     pub watched_at: Millis,
     pub swept_orders_at: Millis,
-    preempted_at: Millis,
-    preempted_for_services_at: Millis,
+    /// By whose tasks they were checked for.
+    preempted_at: [Millis; 3],
     types_written: u64,
     pub renting: Renting,
     /// Deputies whose keys went since the takeover, and when that was seen.
@@ -351,8 +355,7 @@
             turned_at: 0,
             watched_at: 0,
             swept_orders_at: 0,
-            preempted_at: self.now,
-            preempted_for_services_at: self.now,
+            preempted_at: [self.now; 3],
             types_written: 0,
             renting: Renting::default(),
             gone: HashMap::new(),
@@ -457,14 +460,19 @@
                 tracing::debug!(placed, "round");
             }
         }
-        let all = leading.preempted_at + PREEMPT <= now;
-        let services = leading.preempted_for_services_at + PREEMPT_FOR_SERVICES <= now;
-        if all || services {
-            leading.preempted_for_services_at = now;
-            if all {
-                leading.preempted_at = now;
-            }
-            for victim in scheduler::preempt(books, now, !all) {
+        let due = [
+            (Whose::All, PREEMPT),
+            (Whose::Aimed, PREEMPT_FOR_AIMS),
+            (Whose::Services, PREEMPT_FOR_SERVICES),
+        ];
+        let checked = &mut leading.preempted_at;
+        let due = due
+            .into_iter()
+            .find(|&(whose, every)| checked[whose as usize] + every <= now);
+        if let Some((whose, _)) = due {
+            // A check for more jobs is one for fewer, too.
+            checked[..=whose as usize].fill(now);
+            for victim in scheduler::preempt(books, now, whose) {
                 let attempt = &books.machines[victim.machine.at()].attempts[victim.at];
                 let job = books.job(attempt.job);
                 let grace = if job.checkpoint_s > 0.0 {
@@ -474,6 +482,8 @@
                 };
                 tracing::info!(task = %job.task_id(attempt.task), reason = ?victim.reason, "gives way");
                 books.stop(victim.machine, victim.at, grace);
+                let until = now + HELD + (grace * 1000.0) as Millis;
+                books.machines[victim.machine.at()].held_for = Some((victim.for_job, until));
             }
         }
     }
@@ -655,6 +665,9 @@
         }
         leading.told_at = self.now;
         let Some(books) = &leading.books else { return };
+        if tracing::enabled!(tracing::Level::DEBUG) {
+            show(books);
+        }
         let jobs = books
             .job_index
             .iter()
@@ -672,3 +685,25 @@
         }));
     }
 }
+
+/// Tells what waits and what is used, for whoever reads the log of a day.
+fn show(books: &Books) {
+    for team in &books.teams {
+        let mut waiting = [0; 2];
+        for (.., job) in &team.queue {
+            let job = books.job(*job);
+            waiting[usize::from(job.kind == Kind::Service)] += job.waiting.len();
+        }
+        let [arrays, services] = waiting;
+        let booked = books.units(&team.booked);
+        tracing::debug!(team = team.name, booked, arrays, services, "waits");
+    }
+    let count = |state| books.machines.iter().filter(|m| m.state == state).count();
+    let used = books
+        .machines
+        .iter()
+        .map(|m| books.units(&m.used))
+        .sum::<f64>();
+    let (up, booting) = (count(MachineState::Up), count(MachineState::Booting));
+    tracing::debug!(up, booting, used, "machines");
+}
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -37,6 +37,8 @@
 /// unread: for a while nobody is held to be silent for it.
 const STOOD_STILL: Millis = 1000;
 const AWAKE: Millis = 2000;
+/// A gap of this length tells of a processor that can't follow.
+const LATE: Millis = 150;
 
 /// A request from outside that waits for its answer.
 pub type AskId = u64;
@@ -318,6 +320,9 @@
             );
             self.woke_at = Some(now.steady);
         }
+        if self.now + LATE < now.steady {
+            tracing::debug!(for_ms = now.steady - self.now, "late");
+        }
         self.now = self.now.max(now.steady);
         self.wall = now.wall;
         for command in commands {
--- a/src/coordination/takeover.rs
+++ b/src/coordination/takeover.rs
@@ -172,7 +172,18 @@
             books.add_job(&job.spec, job.at_ms, self.now);
         }
         let mut found = std::mem::take(&mut leading.found);
-        for ImagesRecord { images, machines } in std::mem::take(&mut found.images) {
+        for record in std::mem::take(&mut found.images) {
+            let ImagesRecord {
+                images,
+                machines,
+                at_fault,
+            } = record;
+            // Their tasks would fail all over the fleet once more.
+            for id in at_fault {
+                if let Some(&job) = books.job_index.get(&id) {
+                    books.jobs[job.at()].at_fault = true;
+                }
+            }
             for (machine, held) in machines {
                 let held_images = images
                     .iter()
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -1,12 +1,12 @@
 //! The books, the scheduler and the autoscaler under generated loads.
 
-use std::collections::HashSet;
+use std::{cmp::Reverse, collections::HashSet};
 
 use dalelb::{
     bookkeeping::{
         autoscaler::Autoscaler,
         books::{Amounts, Books, Machine, MachineIx, MachineState, Phase, TeamIx, TypeIx},
-        scheduler::{self, Looks},
+        scheduler::{self, Looks, Whose},
         store,
     },
     config::Settings,
@@ -115,13 +115,13 @@
     assert_eq!(scheduler::round(&mut books, 1), 0);
     // Red deserves its 16 and half of the other 48.
     assert_eq!(scheduler::deserved(&books, 64.0), [40.0, 24.0]);
-    let victims = scheduler::preempt(&books, 1000, false);
+    let victims = scheduler::preempt(&books, 1000, Whose::All);
     assert_eq!(victims.len(), 4, "blue gives red its guarantee, no more");
     // What was stopped waits again, and red has its turn.
     for victim in victims.iter().rev() {
         books.machines[victim.machine.at()].attempts[victim.at].stop = Some(0.0);
     }
-    let again = scheduler::preempt(&books, 1000, false);
+    let again = scheduler::preempt(&books, 1000, Whose::All);
     assert!(again.is_empty(), "what is being stopped already is enough");
     for number in 0..4 {
         let machine = MachineIx(number);
@@ -134,7 +134,7 @@
     scheduler::round(&mut books, 1001);
     assert_eq!(booked(&books), [16.0, 48.0]);
     assert!(
-        scheduler::preempt(&books, 2000, false).is_empty(),
+        scheduler::preempt(&books, 2000, Whose::All).is_empty(),
         "nothing of the same priority"
     );
 }
@@ -493,3 +493,41 @@
     }
     assert!(total > 3000, "{total} placed");
 }
+
+/// The heap gave room that urgent work had been promised back to the team that it was taken from, and
+/// the next check took it again: 26000 tasks were stopped in seven minutes, and the urgent waited on.
+#[test]
+fn room_that_others_gave_way_for_is_not_given_back_to_them() {
+    let mut books = books((16.0, 0.0), (0.0, 0.0), 4);
+    let guest = Submission {
+        priority: Priority::Low,
+        ..job(1, "blue", 100, 1.0)
+    };
+    books.add_job(&guest, 0, 0);
+    scheduler::round(&mut books, 0);
+    run_all(&mut books, 0);
+    // Red is beyond what it deserves, blue below: the heap would have blue go first.
+    let urgent = Submission {
+        priority: Priority::High,
+        ..job(2, "red", 14, 4.0)
+    };
+    let index = books.add_job(&urgent, 0, 0).expect("a known team");
+    let mut stopped = 0;
+    for now in [1000, 2000] {
+        let mut victims = scheduler::preempt(&books, now, Whose::All);
+        stopped += victims.len();
+        victims.sort_by_key(|victim| Reverse(victim.at));
+        for victim in victims {
+            books.drop_attempt(victim.machine, victim.at, now);
+            books.machines[victim.machine.at()].held_for = Some((victim.for_job, now + 3000));
+        }
+        scheduler::round(&mut books, now);
+    }
+    assert_eq!(
+        books.job(index).waiting.len(),
+        0,
+        "the urgent job has its room"
+    );
+    assert_eq!(stopped, 56, "each place is taken once");
+    assert_eq!(booked(&books), [56.0, 8.0], "the guest has what is left");
+}
