Histories: nodes stand still at any moment; work without aims rents spot machines only

Freezes of 0.5 to 40 s, at any time and between a decision and its sending; what came meanwhile arrives at once, in any order. 64 histories keep all rules, with leaders frozen and leaders resigning in them.

--- a/src/bookkeeping/autoscaler.rs
+++ b/src/bookkeeping/autoscaler.rs
@@ -181,7 +181,7 @@
             {
                 bin.room.sub(&need);
             } else if let Some(offer) =
-                self.cheapest(books, &bins, &need, u64::MAX, 1, false, |_| true)
+                self.cheapest(books, &bins, &need, u64::MAX, 1, false, false, |_| true)
             {
                 bins.add(books, offer, &need);
             }
@@ -234,6 +234,7 @@
                     other.need.fits_in(&job.need)
                         && job.types & !other.types == 0
                         && (other.spot || !job.spot)
+                        && (!idle_time(other) || idle_time(job))
                 };
                 if bins.fresh >= MAX_FRESH || unmet.iter().any(hopeless) {
                     continue;
@@ -322,6 +323,7 @@
             job.types,
             job.waiting.len(),
             job.spot,
+            idle_time(job),
             zone_ok,
         )?;
         bins.add(books, offer, &job.need);
@@ -339,6 +341,7 @@
         types: u64,
         tasks: usize,
         spot_allowed: bool,
+        spot_only: bool,
         zone_ok: impl Fn(ZoneIx) -> bool,
     ) -> Option<Offer> {
         let mut best: Option<(f64, usize, Offer)> = None;
@@ -375,7 +378,10 @@
                         zone,
                         spot,
                     };
-                    if (spot && !spot_allowed) || self.refused.contains_key(&offer) {
+                    if (spot && !spot_allowed)
+                        || (!spot && spot_only)
+                        || self.refused.contains_key(&offer)
+                    {
                         continue;
                     }
                     let price = match kind.spot_price {
@@ -451,6 +457,12 @@
     }
 }
 
+/// Nothing is aimed at for the job, and it may run on spot machines: ordinary ones are not rented for it,
+/// which cost several times as much.
+fn idle_time(job: &Job) -> bool {
+    job.kind == Kind::Array && job.latest.is_empty() && job.spot
+}
+
 fn whole(books: &Books, type_ix: TypeIx) -> Amounts {
     let kind = &books.types[type_ix.at()];
     Amounts {
--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -156,6 +156,14 @@
     cut_store: Vec<u64>,
     cut_workers: Vec<u64>,
     cut_mesh: Vec<u64>,
+    /// Until when each node stands still, while its clocks run on.
+    frozen: Vec<u64>,
+    /// The node whose effects are being carried out stands still until then: before any of it is sent.
+    held_back: u64,
+    /// Freezes of a node that led.
+    frozen_leaders: usize,
+    /// Leaders that resigned.
+    resigned: usize,
     store: Store,
     watches: Vec<(usize, u64, coordination::Tag, StateRequest, u64, u64)>,
     answered: HashSet<u64>,
@@ -191,6 +199,10 @@
             cut_store: vec![0; NODES],
             cut_workers: vec![0; NODES],
             cut_mesh: vec![0; NODES],
+            frozen: vec![0; NODES],
+            held_back: 0,
+            frozen_leaders: 0,
+            resigned: 0,
             store: Store::new(limits(seed)),
             watches: Vec::new(),
             answered: HashSet::new(),
@@ -248,7 +260,7 @@
 
     /// When a message sent now arrives. A cut loses it or holds it back; now and then one is late.
     fn arrival(&mut self, cut_until: u64) -> Option<u64> {
-        let usual = self.now + self.rng.random_range(1..8);
+        let usual = self.now.max(self.held_back) + self.rng.random_range(1..8);
         if cut_until > self.now {
             return self.rng.random_bool(0.5).then_some(cut_until + 20);
         }
@@ -264,6 +276,7 @@
     fn boot(&mut self, index: usize) {
         self.lives[index] += 1;
         self.born[index] = self.now;
+        self.frozen[index] = 0;
         self.nodes[index] = Some(Node::new(config(index, self.store.limits)));
         self.at(self.now, What::Tick(index));
     }
@@ -284,9 +297,36 @@
         let Some(node) = &mut self.nodes[index] else {
             return;
         };
-        for effect in node.step([command], now) {
+        let effects = node.step([command], now);
+        // The worst moment: all is decided, nothing is sent.
+        if self.faults && self.rng.random_bool(0.0002) {
+            self.freeze(index);
+            self.held_back = self.frozen[index];
+        }
+        for effect in effects {
             self.perform(index, life, effect);
         }
+        self.held_back = 0;
+    }
+
+    /// A node stands still: for less than the leader's lease, about as long, longer than a worker's.
+    fn freeze(&mut self, index: usize) {
+        let lengths = [500, 2500, 3400, 3600, 7000, 13_800, 16_000, 25_000, 40_000];
+        let length = lengths[self.rng.random_range(0..lengths.len())];
+        self.frozen[index] = self.now + length;
+        self.frozen_leaders += usize::from(self.leader == Some(index));
+    }
+
+    /// The node that an event is to happen on.
+    fn whose(what: &What) -> Option<usize> {
+        match what {
+            What::Tick(index)
+            | What::ToNode(index, ..)
+            | What::ReportAt(_, index, ..)
+            | What::Revoke(_, index, ..)
+            | What::Relay(_, _, index, ..) => Some(*index),
+            _ => None,
+        }
     }
 
     fn later(&mut self, index: usize, life: u64, time: u64, command: Command) {
@@ -413,6 +453,8 @@
             Effect::Leading(leads) => {
                 if leads {
                     self.leader = Some(index);
+                } else if self.cut_workers[index] > self.now && self.cut_store[index] <= self.now {
+                    self.resigned += 1;
                 }
             }
         }
@@ -711,6 +753,8 @@
                     self.later(asker, asker_life, time, command);
                 }
             }
+            // Its user has left.
+            Some(Asked::User(..)) if self.held_back > 0 => {}
             Some(Asked::User(job, cancel, accepted, last)) => {
                 self.told(job, cancel, accepted, last, &answer)
             }
@@ -772,6 +816,10 @@
 
     fn ask(&mut self, id: JobId, ask: Ask) {
         let index = self.rng.random_range(0..NODES);
+        if self.frozen[index] > self.now {
+            // It gets no answer in time and asks again.
+            return;
+        }
         let cancel = matches!(ask, Ask::Cancel(_));
         if cancel {
             self.jobs.get_mut(&id).expect("known").1.asked_to_cancel = true;
@@ -857,7 +905,12 @@
     fn fault(&mut self) {
         let index = self.rng.random_range(0..NODES);
         let until = self.now + self.rng.random_range(2000..30_000);
-        match self.rng.random_range(0..8) {
+        match self.rng.random_range(0..10) {
+            8 => self.freeze(index),
+            9 => {
+                let leader = self.leader.unwrap_or(index);
+                self.freeze(leader);
+            }
             0 => self.crash(index),
             1 => (0..NODES).for_each(|each| self.crash(each)),
             2 => {
@@ -888,6 +941,13 @@
     }
 
     fn handle(&mut self, what: What) {
+        // What came meanwhile and what has timed out come all at once, in any order.
+        if let Some(index) = Self::whose(&what)
+            && self.frozen[index] > self.now
+        {
+            let time = self.frozen[index] + self.rng.random_range(0..30);
+            return self.at(time, what);
+        }
         match what {
             What::Tick(index) => {
                 if self.nodes[index].is_some() {
@@ -1163,8 +1223,12 @@
     }
 }
 
-/// Plays a history; how many relayed requests were answered, and what all that was sent hashes to.
-fn play(seed: u64) -> (usize, u64) {
+/// What happened in a history: relayed requests that were answered, leaders that stood still, and that
+/// resigned.
+type Seen = [usize; 3];
+
+/// Plays a history; what happened, and what all that was sent hashes to.
+fn play(seed: u64) -> (Seen, u64) {
     let mut world = World::new(seed);
     let mut number = 0;
     for second in 0..180 {
@@ -1193,6 +1257,7 @@
     }
     // Once nothing fails any more, every array completes, given room.
     world.faults = false;
+    world.frozen.fill(0);
     for each in 0..NODES {
         if world.nodes[each].is_none() {
             world.boot(each);
@@ -1231,7 +1296,8 @@
             );
         }
     }
-    (world.relayed, world.trace.finish())
+    let seen = [world.relayed, world.frozen_leaders, world.resigned];
+    (seen, world.trace.finish())
 }
 
 /// `LOG_LEVEL` shows what the nodes say, to explain a broken rule.
@@ -1252,7 +1318,7 @@
     let first = number("FIRST").unwrap_or(0);
     let seeds: Vec<u64> = (first..number("HISTORIES").unwrap_or(64)).collect();
     let at_once = std::thread::available_parallelism().map_or(1, |n| n.get());
-    let (mut relayed, mut broken) = (0, Vec::new());
+    let (mut seen, mut broken) = ([0; 3], Vec::new());
     for seeds in seeds.chunks(at_once) {
         std::thread::scope(|scope| {
             // A panic tells its thread's name, so the seed.
@@ -1267,14 +1333,17 @@
                 .collect();
             for (seed, played) in seeds.iter().zip(played) {
                 match played.join() {
-                    Ok(count) => relayed += count,
+                    Ok(counts) => (0..3).for_each(|each| seen[each] += counts[each]),
                     Err(_) => broken.push(*seed),
                 }
             }
         });
     }
     assert!(broken.is_empty(), "broken with seeds {broken:?}");
+    let [relayed, frozen, resigned] = seen;
     assert!(relayed > 0, "no request reached a member in a node's place");
+    assert!(frozen > 0, "no leader stood still");
+    assert!(resigned > 0, "no leader out of its workers' reach resigned");
 }
 
 /// What a node sends follows from its commands and their times alone. Books were once made from a
