A node that the state service refuses learns from members who leads

Cause (inc-d5cc): a leader refused by the state service alone could not see its successor; it kept eleven workers alive that the successor did not hear of, for as long as it may renew.

--- a/src/coordination/deputy.rs
+++ b/src/coordination/deputy.rs
@@ -55,6 +55,8 @@
     busy: bool,
     after: Millis,
     pub leader_heard: Option<Millis>,
+    /// A leader that the state service has not told of: its term, its label, and when it was heard.
+    told_leader: Option<(u64, String, Millis)>,
     /// When each worker's lease was last renewed here, and of which session.
     renewed: HashMap<String, (Millis, u64)>,
     /// When each worker was last sent to the leader.
@@ -181,12 +183,7 @@
     /// A report came to a node that does not lead.
     pub(super) fn check_in_as_deputy(&mut self, id: AskId, report: &Report) {
         let now = self.now;
-        let leader = self
-            .directory
-            .leader
-            .as_ref()
-            .map(|(record, _)| record.node.clone())
-            .filter(|node| *node != self.config.label);
+        let leader = self.other_leader();
         let heard = self
             .deputy
             .leader_heard
@@ -226,6 +223,31 @@
         }
     }
 
+    /// A leader told how far jobs are. A node that the state service refuses learns only by that that it
+    /// has a successor: it kept workers to itself for as long as it might renew them.
+    pub(super) fn heard_leader(&mut self, term: u64, leader: String) {
+        if term <= self.directory.term || leader == self.config.label || leader.is_empty() {
+            return;
+        }
+        if self.leading.as_ref().is_some_and(|l| l.term < term) {
+            tracing::warn!(leader, term, "a member leads");
+            self.step_down();
+        }
+        self.deputy.told_leader = Some((term, leader, self.now));
+    }
+
+    /// The node that leads, if it is another, by what was heard last.
+    pub(super) fn other_leader(&self) -> Option<String> {
+        let told = self.deputy.told_leader.as_ref();
+        let told = told
+            .filter(|(term, _, at)| *term > self.directory.term && at + LEADER_SILENT > self.now);
+        let known = self.directory.leader.as_ref();
+        told.map(|(_, label, _)| label)
+            .or(known.map(|(record, _)| &record.node))
+            .filter(|label| **label != self.config.label)
+            .cloned()
+    }
+
     /// Renews a worker's lease, where that is allowed, and stops what its user has cancelled.
     pub(super) fn renew(&mut self, report: &Report) -> Option<Orders> {
         let now = self.now;
@@ -330,7 +352,9 @@
 mod tests {
     use super::*;
     use crate::{
-        bookkeeping::store::LeaderRecord, config::Config, coordination::SilentMachine,
+        bookkeeping::store::LeaderRecord,
+        config::Config,
+        coordination::{Progress, SilentMachine},
         protocol::worker::TaskReport,
     };
 
@@ -430,6 +454,39 @@
         }
     }
 
+    /// The state service refused a leader alone: for 18 s it kept eleven workers alive that its
+    /// successor, which it could hear, did not hear of.
+    #[test]
+    fn a_node_sends_workers_on_to_a_leader_that_only_members_tell_of() {
+        let mut node = deputy(START);
+        node.directory.leader = Some((
+            LeaderRecord {
+                node: "n0".into(),
+                lease: 1,
+                term: 3,
+            },
+            1,
+        ));
+        let idle = report(Vec::new());
+        assert_eq!(
+            answered(&mut node, &idle, START),
+            200,
+            "nobody else is known"
+        );
+        let told = |term| Progress {
+            term,
+            leader: "n2".into(),
+            jobs: Vec::new(),
+        };
+        node.heard_progress(told(2));
+        assert_eq!(node.other_leader(), None, "an old one");
+        node.heard_progress(told(4));
+        assert_eq!(node.other_leader().as_deref(), Some("n2"));
+        assert_eq!(answered(&mut node, &idle, START + 100), 421);
+        at(&mut node, START + 10_000);
+        assert_eq!(node.other_leader(), None, "not heard of any more");
+    }
+
     /// A node was started anew inside a cut: each worker's first report there was sent on to the
     /// leader, which it could not reach, and its lease ran out on the way.
     #[test]
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -681,6 +681,7 @@
             .collect();
         self.out.push(Effect::Tell(Progress {
             term: leading.term,
+            leader: self.config.label.clone(),
             jobs,
         }));
     }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -96,6 +96,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Progress {
     pub term: u64,
+    /// The label of the node that leads.
+    pub leader: String,
     pub jobs: Vec<JobProgress>,
 }
 
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -166,16 +166,12 @@
         let Some(pending) = self.pending.remove(&id) else {
             return;
         };
-        let leader = self
-            .directory
-            .leader
-            .as_ref()
-            .map(|(record, _)| &record.node);
+        let leader = self.other_leader();
         let member = self
             .config
             .members
             .iter()
-            .min_by_key(|member| Some(&member.label) != leader);
+            .min_by_key(|member| Some(&member.label) != leader.as_ref());
         let Some(member) = member else {
             return self.answer(id, out_of_reach());
         };
@@ -368,6 +364,7 @@
             return;
         }
         self.deputy.leader_heard = Some(self.now);
+        self.heard_leader(progress.term, progress.leader);
         self.progress = progress
             .jobs
             .into_iter()
--- a/src/transport/mesh.rs
+++ b/src/transport/mesh.rs
@@ -35,6 +35,7 @@
     });
     Progress {
         term: message.term,
+        leader: message.leader,
         jobs: jobs.collect(),
     }
 }
@@ -47,6 +48,7 @@
     });
     proto::Progress {
         term: progress.term,
+        leader: progress.leader.clone(),
         jobs: jobs.collect(),
     }
 }
