--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -531,3 +531,40 @@
     assert_eq!(stopped, 56, "each place is taken once");
     assert_eq!(booked(&books), [56.0, 8.0], "the guest has what is left");
 }
+
+/// A guest's swarm of small tasks was stopped up to 35 times each for urgent arrays, and ended too late.
+#[test]
+fn a_task_with_an_aim_gives_way_to_arrays_once_and_to_services_always() {
+    let mut books = books((0.0, 0.0), (0.0, 0.0), 1);
+    let guest = Submission {
+        priority: Priority::Low,
+        class: "batch".into(),
+        ..job(1, "blue", 4, 4.0)
+    };
+    books.add_job(&guest, 0, 0);
+    for (attempt, stopped) in [(1, 1), (2, 0)] {
+        scheduler::round(&mut books, 0);
+        run_all(&mut books, 0);
+        assert_eq!(books.machine(MachineIx(0)).attempts[0].attempt, attempt);
+        let urgent = Submission {
+            priority: Priority::High,
+            ..job(1 + u64::from(attempt), "red", 1, 4.0)
+        };
+        let index = books.add_job(&urgent, 0, 0).expect("a known team");
+        let victims = scheduler::preempt(&books, 1000, Whose::All);
+        assert_eq!(victims.len(), stopped, "attempt {attempt}");
+        books.close_job(index);
+        for at in (0..books.machine(MachineIx(0)).attempts.len()).rev() {
+            books.drop_attempt(MachineIx(0), at, 1000);
+        }
+    }
+    scheduler::round(&mut books, 2000);
+    let service = Submission {
+        kind: Kind::Service,
+        priority: Priority::Production,
+        spot: false,
+        ..job(9, "red", 1, 4.0)
+    };
+    books.add_job(&service, 0, 0);
+    assert_eq!(scheduler::preempt(&books, 3000, Whose::All).len(), 1);
+}
