--- a/src/bookkeeping/scheduler.rs
+++ b/src/bookkeeping/scheduler.rs
@@ -700,9 +700,8 @@
                 let over = self.excess[loser.team.at()] + 1e-6 >= books.units(&loser.need);
                 // A task with an aim of its own gives way to arrays once: a guest's swarm of small tasks
                 // was stopped up to 35 times each, and ended too late.
-                let spent = job.kind != Kind::Service
-                    && !loser.latest.is_empty()
-                    && attempt.attempt > 1;
+                let spent =
+                    job.kind != Kind::Service && !loser.latest.is_empty() && attempt.attempt > 1;
                 let reason = if loser.priority > job.priority && !spent {
                     Reason::Priority
                 } else if self.starved && loser.team != self.team && over {
--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -164,6 +164,9 @@
     frozen_leaders: usize,
     /// Leaders that resigned.
     resigned: usize,
+    /// Requests to the state service, and puts and deletes in them.
+    requests: usize,
+    writes: usize,
     store: Store,
     watches: Vec<(usize, u64, coordination::Tag, StateRequest, u64, u64)>,
     answered: HashSet<u64>,
@@ -203,6 +206,8 @@
             held_back: 0,
             frozen_leaders: 0,
             resigned: 0,
+            requests: 0,
+            writes: 0,
             store: Store::new(limits(seed)),
             watches: Vec::new(),
             answered: HashSet::new(),
@@ -343,6 +348,10 @@
                 timeout_ms,
                 ..
             } => {
+                self.requests += 1;
+                if let StateRequest::Txn(txn) = &request {
+                    self.writes += txn.writes.len();
+                }
                 self.next += 1;
                 let ticket = self.next;
                 let give_up = Command::State {
@@ -1355,6 +1364,48 @@
     }
 }
 
+/// Polls by the thousand share a sync, and a swarm of single-task jobs the leader's entries: one write
+/// each to accept a job and to end it, and not two more for its log and pages.
+#[test]
+fn what_users_ask_costs_the_state_service_little() {
+    let mut world = World::new(0);
+    world.faults = false;
+    world.run_until(20_000);
+    let before = world.writes;
+    for number in 1..=200 {
+        let mut spec = world.long_array(number, 1);
+        spec.estimate_s = 1.0;
+        spec.cpus = 0.25;
+        spec.team = "blue".into();
+        world.submit(spec);
+        world.run_until(20_000 + number * 70);
+    }
+    let kept = world.long_array(201, 1);
+    world.submit(kept);
+    world.run_until(50_000);
+    assert!(world.jobs.values().all(|(_, told)| told.accepted));
+    assert!(
+        world.completed.len() >= 200,
+        "{} done",
+        world.completed.len()
+    );
+    let writes = (world.writes - before) as f64 / 200.0;
+    assert!(writes < 4.0, "{writes} writes a job");
+    let idle = world.requests;
+    world.run_until(51_000);
+    let idle = world.requests - idle;
+    let asked = world.requests;
+    for _ in 0..1000 {
+        world.ask(JobId(201), Ask::Poll(JobId(201)));
+    }
+    world.run_until(52_000);
+    let asked = world.requests - asked;
+    assert!(
+        asked <= idle + 3 * NODES,
+        "{asked} requests, {idle} without"
+    );
+}
+
 /// The leader of 571 machines with 2000 tasks ends. Its successor reads the notes, asks all machines
 /// and places again before any worker's lease runs out, and what ran runs on. Also where the store
 /// takes four small values at a time.
