--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -780,6 +780,24 @@
     };
     use serde_json::json;
 
+    /// An inquiry binds nobody: a deputy that has answered one may renew the machine right after.
+    #[test]
+    fn only_a_promise_shows_that_nobody_renews() {
+        let deputies = BTreeMap::from([("n1".to_owned(), 1)]);
+        for binding in [false, true] {
+            let (sent_at, until) = (99_000, 99_500);
+            let ack = Ack {
+                sent_at,
+                until,
+                binding,
+            };
+            let acks = HashMap::from([(("n1".to_owned(), "vm-1".to_owned()), ack)]);
+            let gone = HashMap::new();
+            let proven = nobody_renews(&deputies, &gone, &acks, "vm-1", 100_000, 14_300);
+            assert_eq!(proven, binding);
+        }
+    }
+
     /// A controller that was cut off for a while led again, and the reports held back for it came in
     /// at once: the one that began a worker's new session was older than the start that the
     /// predecessor had sent to that session. Taken as news, it freed a task that was running.
