--- a/src/bookkeeping/autoscaler.rs
+++ b/src/bookkeeping/autoscaler.rs
@@ -239,7 +239,7 @@
                 if bins.fresh >= MAX_FRESH || unmet.iter().any(hopeless) {
                     continue;
                 }
-                let window = self.can_wait_s(books, job, wall_ms) * SAFETY;
+                let window = can_wait_s(job, wall_ms) * SAFETY;
                 let places = freed.places(job, window) as usize;
                 let covered = slots.min(places.saturating_sub(spoken_for));
                 spoken_for += covered;
@@ -270,16 +270,6 @@
         }
     }
 
-    /// How long the job's tasks can wait for a place and still be on time: by its deadline, or by
-    /// what is aimed at for its class.
-    fn can_wait_s(&self, books: &Books, job: &Job, wall_ms: u64) -> f64 {
-        let waited = wall_ms.saturating_sub(job.submitted_ms) as f64 / 1000.0;
-        let aims = &books.aims[job.class.at()];
-        let waits = aims.waits(job.estimate_s, job.deadline_s);
-        let due = waits.first().copied().unwrap_or(NO_AIM_S);
-        (due - waited).max(0.0)
-    }
-
     /// Puts a task into a bin, a new one if need be; the zone it went to. The bins before `from` were
     /// too small for the job's earlier tasks, or in zones that are full of them.
     fn fit(
@@ -457,6 +447,14 @@
     }
 }
 
+/// How long the job's tasks can wait for a place and still be on time: by its deadline, by what is aimed
+/// at for its class, or by what those that need it need.
+fn can_wait_s(job: &Job, wall_ms: u64) -> f64 {
+    let waited = wall_ms.saturating_sub(job.released_ms) as f64 / 1000.0;
+    let due = job.waits.first().copied().unwrap_or(NO_AIM_S);
+    (due - waited).max(0.0)
+}
+
 /// Nothing is aimed at for the job, and it may run on spot machines: ordinary ones are not rented for it,
 /// which cost several times as much.
 fn idle_time(job: &Job) -> bool {
--- a/src/bookkeeping/books.rs
+++ b/src/bookkeeping/books.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
-use super::{Millis, millis, pace::Mean};
+use super::{Millis, millis, pace::Mean, store::PageNumber};
 use crate::{
     config::{Objective, Settings},
     protocol::{
@@ -150,15 +150,23 @@
     pub team: TeamIx,
     pub class: ClassIx,
     pub kind: Kind,
+    /// The highest of its own and of those of the jobs that need it.
     pub priority: Priority,
+    own_priority: Priority,
     /// When it was submitted, by the accepting node's time of day.
     pub submitted_ms: u64,
+    /// When the last job that it awaited was done, or it was submitted. Its age counts from then, and
+    /// so does all that is aimed at for it but its deadline.
+    pub released_ms: u64,
     /// Its place among its team's jobs of the same priority: the time of day by which its tasks
     /// have to be placed for the next aim that they can still meet.
     pub turn_ms: u64,
     /// When that has passed: the place is another one from then on.
     pub turn_until: u64,
-    /// Milliseconds from its submission by which a task has to be placed for each of the aims.
+    /// How many seconds from its release its tasks can wait for each of the aims, and for those of the
+    /// jobs that need it, the tightest first.
+    pub waits: Vec<f64>,
+    /// Milliseconds from its release by which a task has to be placed for that.
     pub latest: Vec<Millis>,
     /// When this node first heard of it.
     pub seen_at: Millis,
@@ -176,6 +184,8 @@
     pub deadline_s: Option<f64>,
     pub tasks: Vec<Task>,
     pub chunks: Vec<Chunk>,
+    /// Pages of another length, with their versions: read, never written, deleted in the end.
+    pub other_pages: Vec<(PageNumber, u64)>,
     pub waiting: BTreeSet<u32>,
     pub done: u32,
     pub running: u32,
@@ -202,16 +212,28 @@
         }
     }
 
+    /// How long its tasks can wait, the tightest first.
+    fn set_waits(&mut self, mut waits: Vec<f64>) {
+        waits.sort_by(f64::total_cmp);
+        // What is late already must not wait for the last moment again: many come to theirs at once.
+        let latest = waits.iter().enumerate().map(|(number, wait)| {
+            let part = if number == 0 { 1.0 } else { LATER };
+            millis(wait * part).saturating_sub(START)
+        });
+        self.latest = latest.collect();
+        self.waits = waits;
+    }
+
     /// Its place from `wall_ms` on.
     fn take_turn(&mut self, wall_ms: u64) {
-        let waited = wall_ms.saturating_sub(self.submitted_ms);
+        let waited = wall_ms.saturating_sub(self.released_ms);
         let next = self.latest.iter().find(|latest| **latest > waited);
         let within = match (next, self.latest.last()) {
             (Some(&next), _) => next,
             (None, Some(&last)) => last + HOPELESS,
             (None, None) => NO_AIM,
         };
-        self.turn_ms = self.submitted_ms + within;
+        self.turn_ms = self.released_ms + within;
         self.turn_until = match next {
             Some(_) => self.turn_ms,
             None => u64::MAX,
@@ -381,6 +403,24 @@
     }
 }
 
+/// What the jobs that need a job make of it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Pull {
+    /// The highest priority of any of them.
+    pub priority: Priority,
+    /// By when it has to be done for each of their aims, the earliest first, by the time of day.
+    pub finish_ms: Vec<u64>,
+}
+
+impl Pull {
+    /// Keeps the earliest times only.
+    pub fn keep(&mut self, count: usize) {
+        self.finish_ms.sort_unstable();
+        self.finish_ms.dedup();
+        self.finish_ms.truncate(count);
+    }
+}
+
 /// What is aimed at for the jobs of a class, in seconds from their submission.
 #[derive(Clone, Debug, Default)]
 pub struct Aims {
@@ -396,24 +436,26 @@
         self.start_s.iter().copied().reduce(f64::min)
     }
 
-    /// How long the tasks of a job can wait from its submission for each of the aims, the
-    /// tightest first; what can't be met even at once is left out.
-    pub fn waits(&self, estimate_s: f64, deadline_s: Option<f64>) -> Vec<f64> {
-        let run_s = estimate_s * ESTIMATE_MARGIN;
-        let one = [1.0];
+    /// The ends that are aimed at for a job with a deadline, in seconds from its submission.
+    pub fn due_s(&self, deadline_s: Option<f64>) -> impl Iterator<Item = f64> {
         let times = if self.deadlines.is_empty() {
-            &one[..]
+            &[1.0][..]
         } else {
             &self.deadlines
         };
-        let deadlines = deadline_s
-            .into_iter()
-            .flat_map(|due| times.iter().map(move |times| due * times - run_s));
+        let due = deadline_s.into_iter();
+        due.flat_map(move |due| times.iter().map(move |times| due * times))
+    }
+
+    /// How long the tasks of a job can wait from its release, `held_s` after its submission, for each
+    /// of the aims; what can't be met even at once is left out.
+    fn waits(&self, estimate_s: f64, deadline_s: Option<f64>, held_s: f64) -> Vec<f64> {
+        let run_s = estimate_s * ESTIMATE_MARGIN;
+        let deadlines = self.due_s(deadline_s).map(|due| due - held_s - run_s);
         let finishes = self.finish_s.iter().map(|within| within - run_s);
         let starts = self.start_s.iter().copied();
         let mut waits: Vec<f64> = starts.chain(finishes).chain(deadlines).collect();
         waits.retain(|wait| *wait > 0.0);
-        waits.sort_by(f64::total_cmp);
         waits
     }
 }
@@ -518,6 +560,14 @@
         books
     }
 
+    /// The ends that are aimed at for a job of a class, in seconds from its submission.
+    pub fn due_s(&self, class: &str, deadline_s: Option<f64>) -> Vec<f64> {
+        match self.classes.get(class) {
+            Some(class) => self.aims[class as usize].due_s(deadline_s).collect(),
+            None => deadline_s.into_iter().collect(),
+        }
+    }
+
     fn class(&mut self, name: &str) -> ClassIx {
         let index = self.classes.index(name);
         if index as usize == self.aims.len() {
@@ -615,8 +665,19 @@
         }
     }
 
-    /// Enters an unfinished job. `None`: its team is unknown here.
+    /// Enters an unfinished job that awaited nothing. `None`: its team is unknown here.
     pub fn add_job(&mut self, spec: &Submission, submitted_ms: u64, now: Millis) -> Option<JobIx> {
+        self.add_released(spec, (submitted_ms, submitted_ms), now)
+    }
+
+    /// Enters an unfinished job for which no other has to be waited any more. Those that still wait are
+    /// not here at all: so they weigh nothing.
+    pub fn add_released(
+        &mut self,
+        spec: &Submission,
+        (submitted_ms, released_ms): (u64, u64),
+        now: Millis,
+    ) -> Option<JobIx> {
         if let Some(&known) = self.job_index.get(&spec.id) {
             return Some(known);
         }
@@ -631,26 +692,19 @@
         let zone = spec.zone.as_deref().map(|name| self.zone(name));
         let count = spec.tasks;
         let class = self.class(&spec.class);
-        // Replicas run on and on: what counts for them is their age.
-        let waits = match spec.kind {
-            Kind::Service => Vec::new(),
-            _ => self.aims[class.at()].waits(spec.estimate_s, spec.deadline_s),
-        };
-        // What is late already must not wait for the last moment again: many come to theirs at once.
-        let latest = waits.into_iter().enumerate().map(|(number, wait)| {
-            let part = if number == 0 { 1.0 } else { LATER };
-            millis(wait * part).saturating_sub(START)
-        });
         let mut job = Job {
             id: spec.id,
             team,
             class,
             kind: spec.kind,
             priority: spec.priority,
+            own_priority: spec.priority,
             submitted_ms,
+            released_ms,
             turn_ms: 0,
             turn_until: 0,
-            latest: latest.collect(),
+            waits: Vec::new(),
+            latest: Vec::new(),
             seen_at: now,
             need: Amounts {
                 cpus: spec.cpus,
@@ -676,6 +730,7 @@
                 count as usize
             ],
             chunks: vec![Chunk::default(); count.div_ceil(self.chunk_len) as usize],
+            other_pages: Vec::new(),
             waiting: (0..count).collect(),
             done: 0,
             running: 0,
@@ -688,6 +743,7 @@
             pace: Mean::default(),
             failed_on: VecDeque::new(),
         };
+        job.set_waits(self.own_waits(&job));
         job.take_turn(self.wall_ms(now));
         let key = (job.priority, job.turn_ms);
         let index = match self.free_jobs.pop() {
@@ -706,6 +762,39 @@
         Some(index)
     }
 
+    /// How long a job's tasks can wait for its own aims.
+    fn own_waits(&self, job: &Job) -> Vec<f64> {
+        // Replicas run on and on: what counts for them is their age.
+        if job.kind == Kind::Service {
+            return Vec::new();
+        }
+        let held_s = job.released_ms.saturating_sub(job.submitted_ms) as f64 / 1000.0;
+        self.aims[job.class.at()].waits(job.estimate_s, job.deadline_s, held_s)
+    }
+
+    /// A job is as urgent as the most urgent of those that need it, and is to end by the latest times
+    /// at which they can still meet their aims.
+    pub fn pull(&mut self, index: JobIx, pull: &Pull, now: Millis) {
+        let wall_ms = self.wall_ms(now);
+        let own = self.own_waits(self.job(index));
+        let job = &mut self.jobs[index.at()];
+        let queue = &mut self.teams[job.team.at()].queue;
+        let queued = queue.remove(&(job.priority, job.turn_ms, index));
+        let run_ms = millis(job.estimate_s * ESTIMATE_MARGIN);
+        let due = pull.finish_ms.iter().filter_map(|due| {
+            let wait = due.checked_sub(job.released_ms + run_ms)?;
+            (wait > 0).then_some(wait as f64 / 1000.0)
+        });
+        let waits = own.into_iter().chain(due).collect();
+        job.set_waits(waits);
+        job.priority = job.own_priority.min(pull.priority);
+        job.take_turn(wall_ms);
+        if queued {
+            queue.insert((job.priority, job.turn_ms, index));
+            self.changed = true;
+        }
+    }
+
     /// Enters a machine, or finds it.
     pub fn add_machine(
         &mut self,
@@ -1010,6 +1099,35 @@
         self.unlogged.range(of_job(job)).next().is_none()
     }
 
+    /// A page stands in the store with this version; 0: it is not there.
+    pub fn enter_page(&mut self, id: JobId, page: PageNumber, version: u64) {
+        let Some(&job) = self.job_index.get(&id) else {
+            return;
+        };
+        let job = &mut self.jobs[job.at()];
+        if let Some(chunk) = page.chunk(self.chunk_len) {
+            if let Some(stands) = job.chunks.get_mut(chunk as usize) {
+                stands.version = version;
+                stands.in_flight = false;
+            }
+        } else {
+            job.other_pages.retain(|(other, _)| *other != page);
+            if version > 0 {
+                job.other_pages.push((page, version));
+            }
+        }
+    }
+
+    /// The pages of a job that stand in the store, with their versions.
+    pub fn pages(&self, index: JobIx) -> Vec<(PageNumber, u64)> {
+        let job = self.job(index);
+        let own = job.chunks.iter().zip(0..);
+        let own = own.map(|(chunk, at)| (PageNumber::new(self.chunk_len, at), chunk.version));
+        own.filter(|(_, version)| *version > 0)
+            .chain(job.other_pages.iter().copied())
+            .collect()
+    }
+
     /// Forgets a job that is over, unless a write under way still names it.
     pub fn free_job(&mut self, index: JobIx) -> bool {
         if self.logging.range(of_job(index)).next().is_some() {
--- a/src/bookkeeping/store.rs
+++ b/src/bookkeeping/store.rs
@@ -1,11 +1,11 @@
 //! What is kept in the state service, and under which keys.
 //!
-//! * `shared/`: followed by every node. `shared/job/<id>` is a job's record, `shared/leader` names
-//!   the leader (on its lease), `shared/term` holds the term, `shared/types` the machine types
+//! * `shared/`: followed by every node. `shared/job/<id>` is a job's record, with `shared/part/<id>/`
+//!   where that is too long for one value, `shared/leader` names the leader (on its lease), `shared/term` holds the term, `shared/types` the machine types
 //!   as the cloud last told them, `shared/deputy/<node>` is a node's right to renew workers' leases.
 //! * `books/log/<slot>`: the leader's log, a ring of entries. An entry notes what changed since the
 //!   one before, for tasks of any number of jobs, so that a change costs a part of a write only.
-//! * `books/task/<id>/<chunk>`: a page, all that is known of a stretch of a job's tasks. Pages are
+//! * `books/task/<id>/<number>`: a page, all that is known of a stretch of a job's tasks. Pages are
 //!   written when the ring comes round, for what the oldest entries name.
 //!
 //! * `books/images/<part>`: which machines hold which images, for a successor to place by. Only a
@@ -29,6 +29,7 @@
 const DEPUTY: &str = "shared/deputy/";
 pub const BOOKS: &str = "books/";
 const JOB: &str = "shared/job/";
+const PART: &str = "shared/part/";
 const TASK: &str = "books/task/";
 const LOG: &str = "books/log/";
 const IMAGES: &str = "books/images/";
@@ -43,6 +44,16 @@
     key.strip_prefix(JOB)?.parse().ok()
 }
 
+/// One of the further keys of a record that is too long for one value.
+pub fn part_key(id: JobId, part: u32) -> String {
+    format!("{PART}{id}/{part:05}")
+}
+
+pub fn parse_part_key(key: &str) -> Option<(JobId, u32)> {
+    let (id, part) = key.strip_prefix(PART)?.split_once('/')?;
+    Some((id.parse().ok()?, part.parse().ok()?))
+}
+
 /// Held by a node on a lease of its own while it may renew workers' leases.
 pub fn deputy_key(label: &str) -> String {
     format!("{DEPUTY}{label}")
@@ -52,13 +63,36 @@
     key.strip_prefix(DEPUTY)
 }
 
-pub fn chunk_key(id: JobId, chunk: u32) -> String {
-    format!("{TASK}{id}/{chunk:05}")
+/// A page's number in its key: how many tasks it stands for, and which of them.
+///
+/// A page's length follows from the limit on values, and that changes. Were pages merely counted, page
+/// 3 would be other tasks for a node that counts on other limits, and written over it would lose notes
+/// that count. So two lengths never share a key: neither can overwrite the other's, a successor reads
+/// both, and merging them is harmless, for of two notes on a task the later one is known. Versions
+/// that only counted, up to 100,000, read these pages as well, and never write them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct PageNumber(pub u32);
+
+const LENGTHS: u32 = 1_000_000;
+
+impl PageNumber {
+    pub fn new(length: u32, chunk: u32) -> Self {
+        PageNumber(length * LENGTHS + chunk)
+    }
+
+    /// Which stretch it is, for who writes pages of this length.
+    pub fn chunk(self, length: u32) -> Option<u32> {
+        (self.0 / LENGTHS == length).then_some(self.0 % LENGTHS)
+    }
+}
+
+pub fn page_key(id: JobId, page: PageNumber) -> String {
+    format!("{TASK}{id}/{:05}", page.0)
 }
 
-pub fn parse_chunk_key(key: &str) -> Option<(JobId, u32)> {
-    let (id, chunk) = key.strip_prefix(TASK)?.split_once('/')?;
-    Some((id.parse().ok()?, chunk.parse().ok()?))
+pub fn parse_page_key(key: &str) -> Option<(JobId, PageNumber)> {
+    let (id, number) = key.strip_prefix(TASK)?.split_once('/')?;
+    Some((id.parse().ok()?, PageNumber(number.parse().ok()?)))
 }
 
 pub fn images_key(part: usize) -> String {
@@ -81,11 +115,65 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "status", rename_all = "lowercase")]
 pub enum JobRecord {
-    Live { at_ms: u64, spec: Box<Submission> },
-    Done,
+    Live {
+        at_ms: u64,
+        spec: Box<Submission>,
+    },
+    /// A submission too long for one value: its JSON is cut into the texts of this many further keys,
+    /// which come and go with the record. Versions before jobs could await others can't read it; by
+    /// the time that users submit what is so long, there are none left.
+    Split {
+        at_ms: u64,
+        parts: u32,
+    },
+    Done {
+        /// When its last task was known to be done, by the leader's time of day: the times of jobs that
+        /// awaited it count from then. Versions before jobs could await others don't tell.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        at_ms: Option<u64>,
+    },
     Cancelled,
 }
 
+/// What is kept free in a value besides what is counted.
+const VALUE_SPARE: usize = 64;
+
+/// A live job's record and the texts of its further keys, none of them longer than `bytes` as JSON.
+pub fn live_record(at_ms: u64, spec: &Submission, bytes: usize) -> (JobRecord, Vec<String>) {
+    let whole = JobRecord::Live {
+        at_ms,
+        spec: Box::new(spec.clone()),
+    };
+    let room = bytes.saturating_sub(VALUE_SPARE);
+    if json_len(&whole) <= room {
+        return (whole, Vec::new());
+    }
+    let text = to_value(spec).to_string();
+    let mut texts = vec![String::new()];
+    let mut used = 2;
+    for each in text.chars() {
+        let len = json_len(&each) - 2;
+        if used + len > room {
+            texts.push(String::new());
+            used = 2;
+        }
+        used += len;
+        texts.last_mut().expect("never empty").push(each);
+    }
+    let parts = texts.len() as u32;
+    (JobRecord::Split { at_ms, parts }, texts)
+}
+
+/// Puts the texts of a record's further keys together.
+pub fn joined<'a>(texts: impl Iterator<Item = &'a str>) -> Result<Submission, serde_json::Error> {
+    serde_json::from_str(&texts.collect::<String>())
+}
+
+/// How long something is as JSON.
+pub fn json_len<T: Serialize>(record: &T) -> usize {
+    serde_json::to_vec(record).map_or(0, |text| text.len())
+}
+
 /// Who leads.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaderRecord {
@@ -188,6 +276,10 @@
 
 /// Jobs at fault that are told of.
 const AT_FAULT_TOLD: usize = 64;
+/// The longest id of a job, with its quotes and a comma.
+const JOB_BYTES: usize = 25;
+/// What a record has besides its lists' entries.
+const IMAGES_HEAD: usize = 64;
 
 /// Set for a machine on which nothing more is to be placed: it failed its tasks, or was slow.
 pub const TO_BE_REPLACED: u64 = 1 << IMAGES_TOLD;
@@ -218,25 +310,29 @@
         .collect();
     table.sort_by_key(|&(image, held, _)| (std::cmp::Reverse(held), image));
     table.truncate(IMAGES_TOLD);
-    let images: Vec<(String, f64)> = table
-        .iter()
-        .filter_map(|(image, _, gb)| Some(((*names.get(image)?).to_owned(), *gb)))
-        .collect();
-    let bit: HashMap<ImageIx, usize> = table.iter().map(|row| row.0).zip(0..).collect();
-    let head: usize = 64
-        + images
-            .iter()
-            .map(|(name, _)| name.len() + 32)
-            .sum::<usize>();
+    // What is held most comes first; half of a record is for the machines.
+    let mut head = IMAGES_HEAD;
+    let mut images: Vec<(String, f64)> = Vec::new();
+    for (image, _, gb) in &table {
+        let Some(name) = names.get(image) else {
+            continue;
+        };
+        let image = ((*name).to_owned(), *gb);
+        head += json_len(&image) + 1;
+        if head > bytes / 2 {
+            break;
+        }
+        images.push(image);
+    }
+    let bit: HashMap<ImageIx, usize> = table.iter().map(|row| row.0).zip(0..images.len()).collect();
     let mut records: Vec<ImagesRecord> = Vec::new();
-    let mut used = bytes;
+    let mut used = usize::MAX;
     let at_fault = books.job_index.values().map(|index| books.job(*index));
     let mut at_fault: Vec<JobId> = at_fault
         .filter(|job| job.at_fault && !job.closed)
         .map(|job| job.id)
-        .take(AT_FAULT_TOLD)
+        .take(AT_FAULT_TOLD.min(bytes / 4 / JOB_BYTES))
         .collect();
-    let head = head + at_fault.len() * NUMBER_BYTES;
     for machine in up() {
         let held = machine
             .images
@@ -247,12 +343,10 @@
         if held == 0 {
             continue;
         }
-        let size = machine.name.len() + 8 + NUMBER_BYTES;
-        if used + size > bytes {
-            if head + size > bytes {
-                break;
-            }
-            used = head;
+        let machine = (machine.name.clone(), held);
+        let size = json_len(&machine) + 1;
+        if used.saturating_add(size) > bytes {
+            used = head + at_fault.len() * JOB_BYTES;
             records.push(ImagesRecord {
                 images: images.clone(),
                 machines: Vec::new(),
@@ -261,7 +355,7 @@
         }
         used += size;
         if let Some(record) = records.last_mut() {
-            record.machines.push((machine.name.clone(), held));
+            record.machines.push(machine);
         }
     }
     records
@@ -341,8 +435,8 @@
     }
 }
 
-/// No number in a note is written longer than this.
-const NUMBER_BYTES: usize = 24;
+/// An entry without any job or machine, with the largest numbers.
+const LOG_HEAD: usize = 96;
 
 /// Takes tasks off the front of `tasks` for one entry whose JSON has at most `bytes` bytes; at least
 /// one is taken.
@@ -354,32 +448,29 @@
 ) -> LogRecord {
     let mut named = Named::default();
     let mut jobs: Vec<(JobId, JobNote, Vec<TaskNote>)> = Vec::new();
-    let mut used = 128;
+    let mut used = LOG_HEAD;
     while let Some(&(index, task)) = tasks.peek() {
         let job = books.job(index);
         let entry = &job.tasks[task as usize];
-        used += 2 * NUMBER_BYTES;
-        if let TaskStatus::Active(on) = entry.status
-            && !named.at.contains_key(&on)
-        {
-            let machine = books.machine(on);
-            used += 64
-                + machine.name.len()
-                + machine.addr.as_ref().map_or(0, String::len)
-                + books.types[machine.type_ix.at()].name.len()
-                + books.zone_names[machine.zone.at()].len();
-        }
+        let machines = named.notes.len();
+        let note = named.task(books, task, entry);
+        used += json_len(&note) + 1;
+        used += named.notes[machines..]
+            .iter()
+            .map(|machine| json_len(machine) + 1)
+            .sum::<usize>();
         let new_job = jobs.last().is_none_or(|(id, ..)| *id != job.id);
-        if new_job {
-            used += 64 + 5 * NUMBER_BYTES + books.teams[job.team.at()].name.len();
+        let head = new_job.then(|| job_note(books, index));
+        if let Some(head) = &head {
+            used += json_len(&job.id) + json_len(head) + 6;
         }
         if used > bytes && !jobs.is_empty() {
+            named.notes.truncate(machines);
             break;
         }
-        if new_job {
-            jobs.push((job.id, job_note(books, index), Vec::new()));
+        if let Some(head) = head {
+            jobs.push((job.id, head, Vec::new()));
         }
-        let note = named.task(books, task, entry);
         if let Some((.., notes)) = jobs.last_mut() {
             notes.push(note);
         }
--- a/src/config.rs
+++ b/src/config.rs
@@ -104,6 +104,57 @@
     pub write_rps: f64,
     pub value_kb: f64,
     pub txn_ops: u32,
+    /// What the state service will take from some moment on that it does not announce.
+    #[serde(default)]
+    pub next: Option<NextLimits>,
+}
+
+/// Limits to come; what is not named stays as it is.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+pub struct NextLimits {
+    pub rps: Option<f64>,
+    pub write_rps: Option<f64>,
+    pub value_kb: Option<f64>,
+    pub txn_ops: Option<u32>,
+}
+
+impl NextLimits {
+    fn problems(&self, path: &str) -> Vec<String> {
+        let mut found = Vec::new();
+        for (field, value) in [("rps", self.rps), ("write_rps", self.write_rps)] {
+            if value.is_some_and(|value| !value.is_finite() || value <= 0.0) {
+                found.push(format!("{path}.{field}: must be above 0"));
+            }
+        }
+        if self.value_kb.is_some_and(|kb| !kb.is_finite() || kb < 2.0) {
+            found.push(format!("{path}.value_kb: must be at least 2"));
+        }
+        if self.txn_ops.is_some_and(|ops| ops < 4) {
+            found.push(format!("{path}.txn_ops: must be at least 4"));
+        }
+        found
+    }
+}
+
+impl StateLimits {
+    /// What is within the limits now and within those to come. Nobody tells when they change, and a
+    /// transaction that was right when it was sent may be applied after that.
+    pub fn strictest(&self) -> StateLimits {
+        let next = self.next.unwrap_or_default();
+        let least = |now: f64, next: Option<f64>| next.map_or(now, |next| next.min(now));
+        StateLimits {
+            rps: least(self.rps, next.rps),
+            write_rps: least(self.write_rps, next.write_rps),
+            value_kb: least(self.value_kb, next.value_kb),
+            txn_ops: next.txn_ops.unwrap_or(self.txn_ops).min(self.txn_ops),
+            next: None,
+        }
+    }
+
+    /// The longest value that may be written, in bytes of JSON.
+    pub fn value_bytes(&self) -> usize {
+        (self.value_kb * 1024.0) as usize
+    }
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -202,9 +253,6 @@
         positive("workers.report_s", settings.workers.report_s);
         positive("workers.lease_s", settings.workers.lease_s);
         positive("workers.cancel_s", settings.workers.cancel_s);
-        positive("state.rps", settings.state.rps);
-        positive("state.write_rps", settings.state.write_rps);
-        positive("state.value_kb", settings.state.value_kb);
         positive("cloud.rps", settings.cloud.rps);
         if settings.workers.cancel_s <= settings.workers.lease_s {
             found.push("settings.workers.cancel_s: must be above workers.lease_s".into());
@@ -212,11 +260,16 @@
         if settings.limits.sockets < 32 {
             found.push("settings.limits.sockets: must be at least 32".into());
         }
-        if settings.state.value_kb < 2.0 {
-            found.push("settings.state.value_kb: must be at least 2".into());
-        }
-        if settings.state.txn_ops < 4 {
-            found.push("settings.state.txn_ops: must be at least 4".into());
+        let state = &settings.state;
+        let today = NextLimits {
+            rps: Some(state.rps),
+            write_rps: Some(state.write_rps),
+            value_kb: Some(state.value_kb),
+            txn_ops: Some(state.txn_ops),
+        };
+        found.extend(today.problems("settings.state"));
+        if let Some(next) = &state.next {
+            found.extend(next.problems("settings.state.next"));
         }
         if !settings.cloud.list_lag_s.is_finite() || settings.cloud.list_lag_s < 0.0 {
             found.push("settings.cloud.list_lag_s: must not be negative".into());
--- a/src/coordination/deputy.rs
+++ b/src/coordination/deputy.rs
@@ -266,10 +266,8 @@
             .iter()
             .filter(|task| task.state != TaskState::Ended)
             .filter(|task| {
-                matches!(
-                    self.directory.get(task.task.job),
-                    Some(Entry::Final(JobStatus::Cancelled))
-                )
+                let job = self.directory.get(task.task.job);
+                job.and_then(Entry::ended) == Some(JobStatus::Cancelled)
             })
             .map(|task| Order::Stop {
                 task: task.task,
--- a/src/coordination/directory.rs
+++ b/src/coordination/directory.rs
@@ -4,7 +4,10 @@
 //! new as the moment at which it was sent. Answers that could be older than what another node has
 //! told a user are given only after a sync that began after the question came.
 
-use std::{collections::BTreeMap, rc::Rc};
+use std::{
+    collections::{BTreeMap, HashMap, VecDeque},
+    rc::Rc,
+};
 
 use serde_json::Value;
 
@@ -18,7 +21,7 @@
         cloud::MachineTypes,
         ids::JobId,
         job::{JobStatus, Submission},
-        state::{Event, StateError, StateReply, StateRequest, Urgency},
+        state::{Event, StateError, StateReply, StateRequest, Txn, Urgency, Write},
     },
 };
 
@@ -37,19 +40,65 @@
     pub version: u64,
     pub at_ms: u64,
     pub spec: Rc<Submission>,
+    /// How many further keys its record has.
+    pub parts: u32,
+    /// Awaited jobs whose records do not say `done`. Until there is none, no task may start.
+    pub left: usize,
+    /// When the last awaited job was done, or the job was submitted, if that was later.
+    pub released_ms: u64,
+}
+
+impl LiveJob {
+    /// Adds the job's end to a transaction that stands if nobody else has ended it.
+    pub fn end(&self, id: JobId, record: &JobRecord, txn: &mut Txn) {
+        txn.put(store::job_key(id), self.version, store::to_value(record));
+        for part in 0..self.parts {
+            let key = store::part_key(id, part);
+            txn.writes.push(Write::Delete { key });
+        }
+    }
 }
 
 #[derive(Clone, Debug)]
 pub enum Entry {
     Live(LiveJob),
-    /// Kept for good.
-    Final(JobStatus),
+    /// A job that it needs was cancelled: so it is, from then on, whatever its own record says. Each
+    /// node derives that from two facts that never change, what the job awaits and how that ended, so
+    /// no node can tell its user otherwise later, and nothing is left half done by a crash.
+    Doomed(LiveJob),
+    /// Kept for good, with the time at which it was done.
+    Final(JobStatus, Option<u64>),
+}
+
+impl Entry {
+    /// How the job has ended.
+    pub fn ended(&self) -> Option<JobStatus> {
+        match self {
+            Entry::Live(_) => None,
+            Entry::Doomed(_) => Some(JobStatus::Cancelled),
+            Entry::Final(status, _) => Some(*status),
+        }
+    }
+}
+
+/// What has been read of a record that is kept under several keys.
+#[derive(Default)]
+struct Split {
+    /// Time of the submission, number of parts, version.
+    record: Option<(u64, u32, u64)>,
+    texts: BTreeMap<u32, String>,
 }
 
 #[derive(Default)]
 pub struct Directory {
     /// In order: what the books are made from must not depend on chance.
     jobs: BTreeMap<JobId, Entry>,
+    /// Records that are not complete yet.
+    split: HashMap<JobId, Split>,
+    /// Which live jobs await a job, from when the first of them is known until that job is over.
+    needed_by: HashMap<JobId, Vec<JobId>>,
+    /// Jobs whose records do not say yet that they are cancelled, none before one that it needs.
+    doomed: VecDeque<JobId>,
     /// All changes up to here are in.
     revision: u64,
     loaded: bool,
@@ -64,7 +113,8 @@
 /// What a change in the directory means to the leader.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
-    Job(JobId),
+    /// Jobs that were accepted, released or ended: the one whose record changed, and what follows.
+    Jobs(Vec<JobId>),
     Leader,
     Term,
     Types,
@@ -85,7 +135,41 @@
     pub fn live(&self) -> impl Iterator<Item = (JobId, &LiveJob)> {
         self.jobs.iter().filter_map(|(id, entry)| match entry {
             Entry::Live(live) => Some((*id, live)),
-            Entry::Final(_) => None,
+            Entry::Doomed(_) | Entry::Final(..) => None,
+        })
+    }
+
+    pub fn live_job(&self, id: JobId) -> Option<&LiveJob> {
+        match self.jobs.get(&id) {
+            Some(Entry::Live(live)) => Some(live),
+            _ => None,
+        }
+    }
+
+    /// Live jobs that await an unfinished one.
+    pub fn needed_by(&self, id: JobId) -> impl Iterator<Item = (JobId, &LiveJob)> {
+        let all = self.needed_by.get(&id).into_iter().flatten();
+        all.filter_map(|id| match self.jobs.get(id) {
+            Some(Entry::Live(live)) => Some((*id, live)),
+            _ => None,
+        })
+    }
+
+    /// Whether jobs wait for this one.
+    pub fn is_needed(&self, id: JobId) -> bool {
+        self.needed_by(id).next().is_some()
+    }
+
+    /// The first jobs that were cancelled with one that they need and whose records don't say so.
+    pub fn doomed(&mut self) -> impl Iterator<Item = (JobId, &LiveJob)> {
+        while let Some(first) = self.doomed.front()
+            && !matches!(self.jobs.get(first), Some(Entry::Doomed(_)))
+        {
+            self.doomed.pop_front();
+        }
+        self.doomed.iter().filter_map(|id| match self.jobs.get(id) {
+            Some(Entry::Doomed(job)) => Some((*id, job)),
+            _ => None,
         })
     }
 
@@ -99,6 +183,16 @@
                 }
             };
         }
+        if let Some((id, part)) = store::parse_part_key(key) {
+            let Value::String(text) = value else {
+                tracing::error!(%key, "a part of a job's record can't be read");
+                return Change::Nothing;
+            };
+            if !self.jobs.contains_key(&id) {
+                self.split.entry(id).or_default().texts.insert(part, text);
+            }
+            return self.join(id);
+        }
         if let Some(label) = store::parse_deputy_key(key) {
             let known = self.deputies.entry(label.to_owned()).or_default();
             *known = version.max(*known);
@@ -140,25 +234,122 @@
 
     /// Enters a job's record; what is final stays so.
     pub fn put_job(&mut self, id: JobId, record: JobRecord, version: u64) -> Change {
-        let entry = match record {
-            JobRecord::Live { at_ms, spec } => {
-                if self.jobs.contains_key(&id) {
-                    return Change::Nothing;
-                }
-                Entry::Live(LiveJob {
-                    version,
-                    at_ms,
-                    spec: Rc::new(*spec),
-                })
+        let known = self.jobs.get(&id);
+        let ended = match record {
+            JobRecord::Live { .. } | JobRecord::Split { .. } if known.is_some() => {
+                return Change::Nothing;
+            }
+            JobRecord::Live { at_ms, spec } => return self.enter(id, (at_ms, 0, version), *spec),
+            JobRecord::Split { at_ms, parts } => {
+                self.split.entry(id).or_default().record = Some((at_ms, parts, version));
+                return self.join(id);
             }
-            JobRecord::Done => Entry::Final(JobStatus::Done),
-            JobRecord::Cancelled => Entry::Final(JobStatus::Cancelled),
+            JobRecord::Done { at_ms } => Entry::Final(JobStatus::Done, at_ms),
+            JobRecord::Cancelled => Entry::Final(JobStatus::Cancelled, None),
+        };
+        // What it needed is perhaps less urgent without it.
+        let mut changed = vec![id];
+        match known {
+            Some(Entry::Final(..)) => return Change::Nothing,
+            Some(Entry::Live(live)) => changed.extend(&live.spec.awaits),
+            Some(Entry::Doomed(_)) | None => {}
+        }
+        self.split.remove(&id);
+        self.jobs.insert(id, ended);
+        self.follow_from(changed)
+    }
+
+    /// Enters a job whose record is kept under several keys once all of them have been read. They are
+    /// written at once, but read page by page.
+    fn join(&mut self, id: JobId) -> Change {
+        let Some(split) = self.split.get(&id) else {
+            return Change::Nothing;
         };
-        if matches!(self.jobs.get(&id), Some(Entry::Final(_))) {
+        let Some(record) = split.record.filter(|(_, parts, _)| {
+            (0..*parts).all(|part| split.texts.contains_key(&part))
+        }) else {
             return Change::Nothing;
+        };
+        let spec = store::joined(split.texts.values().map(String::as_str));
+        self.split.remove(&id);
+        match spec {
+            Ok(spec) => self.enter(id, record, spec),
+            Err(error) => {
+                tracing::error!(job = %id, %error, "a job's record can't be read");
+                Change::Nothing
+            }
+        }
+    }
+
+    /// Enters a job that is not known yet.
+    fn enter(
+        &mut self,
+        id: JobId,
+        (at_ms, parts, version): (u64, u32, u64),
+        spec: Submission,
+    ) -> Change {
+        let mut live = LiveJob {
+            version,
+            at_ms,
+            parts,
+            left: 0,
+            released_ms: at_ms,
+            spec: Rc::new(spec),
+        };
+        let spec = live.spec.clone();
+        let mut doomed = false;
+        for awaited in &spec.awaits {
+            match self.jobs.get(awaited) {
+                Some(Entry::Final(JobStatus::Done, done_ms)) => {
+                    live.released_ms = live.released_ms.max(done_ms.unwrap_or(0));
+                }
+                Some(Entry::Final(..) | Entry::Doomed(_)) => doomed = true,
+                // While all is being read, it may come only later.
+                Some(Entry::Live(_)) | None => {
+                    live.left += 1;
+                    self.needed_by.entry(*awaited).or_default().push(id);
+                }
+            }
+        }
+        if doomed {
+            self.doomed.push_back(id);
+            self.jobs.insert(id, Entry::Doomed(live));
+        } else {
+            self.jobs.insert(id, Entry::Live(live));
+        }
+        self.follow_from(vec![id])
+    }
+
+    /// What follows from a job's new state for those that await it, directly or through others. Not
+    /// recursive: pipelines may be as deep as there are jobs.
+    fn follow_from(&mut self, mut changed: Vec<JobId>) -> Change {
+        let mut at = 0;
+        while let Some(&over) = changed.get(at) {
+            at += 1;
+            let (cancelled, done_ms) = match self.jobs.get(&over) {
+                Some(Entry::Final(JobStatus::Done, done_ms)) => (false, done_ms.unwrap_or(0)),
+                Some(Entry::Final(..) | Entry::Doomed(_)) => (true, 0),
+                Some(Entry::Live(_)) | None => continue,
+            };
+            for waiting in self.needed_by.remove(&over).unwrap_or_default() {
+                let Some(entry) = self.jobs.get_mut(&waiting) else {
+                    continue;
+                };
+                let Entry::Live(job) = entry else { continue };
+                if cancelled {
+                    *entry = Entry::Doomed(job.clone());
+                    self.doomed.push_back(waiting);
+                    changed.push(waiting);
+                    continue;
+                }
+                job.left -= 1;
+                job.released_ms = job.released_ms.max(done_ms);
+                if job.left == 0 {
+                    changed.push(waiting);
+                }
+            }
         }
-        self.jobs.insert(id, entry);
-        Change::Job(id)
+        Change::Jobs(changed)
     }
 
     fn apply(&mut self, event: Event) -> Change {
@@ -422,6 +613,7 @@
             Ok(reply @ StateReply::Changes(_)) => {
                 self.take_changes(reply);
                 self.sync.ok = self.sync.ok.max(Some(sent_at));
+                self.make_books();
                 for id in asked {
                     self.resolve(id);
                 }
@@ -467,7 +659,7 @@
     /// Lets the rest of the node follow a change.
     pub(super) fn changed(&mut self, change: Change) {
         match change {
-            Change::Job(id) => self.job_changed(id),
+            Change::Jobs(jobs) => jobs.into_iter().for_each(|id| self.job_changed(id)),
             Change::Leader => self.leader_changed(),
             Change::Term => self.term_changed(),
             Change::Types => {
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -8,12 +8,12 @@
 
 use super::{
     Effect, JobProgress, Node, Progress, StateTag, directory::Entry, fleet::Ack, notes::Notes,
-    reach::Reach, renting::Renting, takeover::Found,
+    pipelines::Ends, reach::Reach, renting::Renting, takeover::Found,
 };
 use crate::{
     bookkeeping::{
         Millis,
-        books::{Books, MachineState},
+        books::{Books, MachineState, Pull},
         scheduler::{self, Whose},
         store::{self, LeaderRecord, TermRecord},
     },
@@ -107,6 +107,9 @@
     pub acks: HashMap<(String, String), Ack>,
     pub asked_deputies: Millis,
     pub reach: Reach,
+    pub ends: Ends,
+    /// What those that need a job make of it.
+    pub pulls: HashMap<JobId, Pull>,
 }
 
 impl Leading {
@@ -362,6 +365,8 @@
             acks: HashMap::new(),
             asked_deputies: 0,
             reach: Reach::default(),
+            ends: Ends::default(),
+            pulls: HashMap::new(),
         }));
         self.out.push(Effect::Leading(true));
         // Jobs accepted or cancelled up to now must be known before the books are made.
@@ -370,36 +375,58 @@
         self.read_books();
     }
 
-    /// A job was accepted, done or cancelled.
+    /// A job was accepted, released, done or cancelled.
     pub(super) fn job_changed(&mut self, id: JobId) {
-        let Some(books) = self.leading.as_mut().and_then(|l| l.books.as_mut()) else {
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let Some(books) = &mut leading.books else {
             return;
         };
+        let mut pulled = vec![id];
         match self.directory.get(id) {
             Some(Entry::Live(job)) => {
-                let added = books.add_job(&job.spec, job.at_ms, self.now);
-                if let Some(index) = added {
-                    let job = books.job(index);
-                    if job.kind == Kind::Service {
-                        let (need, tasks) = (job.need, job.tasks.len());
-                        let now = self.now;
-                        if let Some(leading) = &mut self.leading {
-                            leading.renting.autoscaler.arrived(need, tasks, now);
+                pulled.extend(&job.spec.awaits);
+                // It is entered once all that it needs is done, and weighs nothing before.
+                if job.left == 0 && !books.job_index.contains_key(&id) {
+                    let released = !job.spec.awaits.is_empty();
+                    let times = (job.at_ms, job.released_ms);
+                    match books.add_released(&job.spec, times, self.now) {
+                        Some(index) => {
+                            if let Some(pull) = leading.pulls.get(&id) {
+                                books.pull(index, pull, self.now);
+                            }
+                            let job = books.job(index);
+                            if job.kind == Kind::Service {
+                                let (need, tasks) = (job.need, job.tasks.len());
+                                let scaler = &mut leading.renting.autoscaler;
+                                scaler.arrived(need, tasks, self.now);
+                            }
+                            if released {
+                                let turn_ms = job.turn_ms.saturating_sub(self.wall);
+                                tracing::info!(job = %id, priority = ?job.priority, turn_ms, "released");
+                            }
                         }
+                        None => tracing::error!(job = %id, "no such team"),
                     }
-                } else {
-                    tracing::error!(job = %id, "no such team");
                 }
             }
-            Some(Entry::Final(_)) => {
+            Some(Entry::Final(..)) => {
+                leading.pulls.remove(&id);
                 if let Some(&index) = books.job_index.get(&id)
                     && !books.job(index).closed
                 {
                     books.close_job(index);
                 }
             }
+            Some(Entry::Doomed(job)) => {
+                tracing::info!(job = %id, "cancelled with a job that it needs");
+                leading.pulls.remove(&id);
+                pulled.extend(&job.spec.awaits);
+            }
             None => {}
         }
+        self.pull(pulled);
     }
 
     /// The leader's turn: renews, schedules, writes, sends.
@@ -429,6 +456,7 @@
         self.recheck();
         self.flush();
         self.page();
+        self.store_ends();
         self.note_images();
         self.fence();
         self.sweep();
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod leader;
 mod notes;
+mod pipelines;
 mod reach;
 mod renting;
 mod status;
@@ -212,7 +213,8 @@
     Load { generation: u64 },
     Watch { generation: u64 },
     Sync { generation: u64 },
-    Submit(AskId),
+    /// `whole`: the record is kept under one key.
+    Submit { id: AskId, whole: bool },
     SubmitCheck(AskId),
     Cancel(AskId),
     Grant,
@@ -226,7 +228,8 @@
     Page { lease: u64 },
     Fence { lease: u64 },
     FenceCheck { lease: u64 },
-    Sweep { lease: u64, jobs: Vec<JobId> },
+    Sweep { lease: u64 },
+    Ends { lease: u64 },
     Types,
     Images,
     DeputyGrant,
@@ -289,7 +292,8 @@
 }
 
 impl Node {
-    pub fn new(config: Config) -> Self {
+    pub fn new(mut config: Config) -> Self {
+        config.settings.state = config.settings.state.strictest();
         Node {
             config,
             now: 0,
@@ -368,7 +372,7 @@
             StateTag::Load { generation } => self.loaded(generation, result),
             StateTag::Watch { generation } => self.watched(generation, result),
             StateTag::Sync { generation } => self.synced(generation, sent_at, result),
-            StateTag::Submit(id) => self.submit_answered(id, result),
+            StateTag::Submit { id, whole } => self.submit_answered(id, whole, result),
             StateTag::SubmitCheck(id) => self.submit_checked(id, result),
             StateTag::Cancel(id) => self.cancel_answered(id, result),
             StateTag::Grant => self.granted(sent_at, result),
@@ -382,7 +386,8 @@
             StateTag::Page { lease } => self.paged(lease, result),
             StateTag::Fence { lease } => self.fence_answered(lease, result),
             StateTag::FenceCheck { lease } => self.fence_checked(lease, result),
-            StateTag::Sweep { lease, jobs } => self.swept(lease, &jobs, result),
+            StateTag::Sweep { lease } => self.swept(lease, result),
+            StateTag::Ends { lease } => self.ends_stored(lease, result),
             StateTag::Types | StateTag::Images => {}
             StateTag::DeputyGrant => self.deputy_granted(sent_at, result),
             StateTag::DeputyPut { lease } => self.deputy_put(lease, result),
--- a/src/coordination/notes.rs
+++ b/src/coordination/notes.rs
@@ -10,14 +10,13 @@
 
 use super::{
     Leading, Node, StateTag,
-    directory::Entry,
     leader::{Fate, TXN_TIMEOUT},
 };
 use crate::{
     bookkeeping::{
         Millis,
         books::{Books, JobIx},
-        store::{self, JobRecord, LogRecord},
+        store::{self, JobRecord, LogRecord, PageNumber},
     },
     protocol::{
         ids::JobId,
@@ -65,6 +64,8 @@
 struct Flush {
     entries: Vec<LiveEntry>,
     finals: Vec<(JobIx, JobId)>,
+    /// The time of day that those ends tell.
+    at_ms: u64,
 }
 
 /// Pages under way, each with the last entry that it covers.
@@ -77,14 +78,14 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Doubt {
     Slot(u32),
-    Page(JobId, u32),
+    Page(JobId, PageNumber),
 }
 
 impl Doubt {
     fn key(self) -> String {
         match self {
             Doubt::Slot(slot) => store::slot_key(slot),
-            Doubt::Page(job, chunk) => store::chunk_key(job, chunk),
+            Doubt::Page(job, page) => store::page_key(job, page),
         }
     }
 }
@@ -104,7 +105,8 @@
     paging: Option<Paging>,
     paged_at: Millis,
     swept_at: Millis,
-    sweeping: Vec<JobId>,
+    /// Pages whose deletion is under way.
+    sweeping: Vec<(JobId, PageNumber)>,
     images_at: Millis,
     /// Keys to ask for again, and when.
     doubts: Vec<(Millis, Doubt)>,
@@ -244,6 +246,7 @@
         let flush = Flush {
             entries: self.log(&mut txn),
             finals: self.finish(&mut txn),
+            at_ms: self.wall,
         };
         let Some(leading) = self.leading.as_mut().filter(|_| !txn.writes.is_empty()) else {
             return;
@@ -276,8 +279,9 @@
             return entries;
         };
         let mut bytes = 512;
-        // A write is left for the end of a job.
-        while !books.unlogged.is_empty() && txn.writes.len() + 1 < ops {
+        // Some writes are left for the ends of jobs: others may wait for them.
+        let left = if books.complete.is_empty() { 0 } else { (ops / 4).max(1) };
+        while !books.unlogged.is_empty() && txn.writes.len() + left < ops {
             let room = value_bytes.min(TXN_BYTES.saturating_sub(bytes));
             if room < value_bytes.min(4096) && !entries.is_empty() {
                 break;
@@ -321,21 +325,24 @@
         let Some(books) = self.leading.as_mut().and_then(|l| l.books.as_mut()) else {
             return finals;
         };
-        for job in books.complete.clone() {
-            if txn.writes.len() >= ops {
-                break;
-            }
+        // Jobs that others wait for come first.
+        let mut complete: Vec<JobIx> = books.complete.iter().copied().collect();
+        complete.sort_by_key(|job| !self.directory.is_needed(books.job(*job).id));
+        for job in complete {
             let entry = books.job(job);
-            let Some(Entry::Live(live)) = self.directory.get(entry.id) else {
+            let Some(live) = self.directory.live_job(entry.id) else {
                 books.complete.remove(&job);
                 continue;
             };
             if !books.written(job) || entry.finishing {
                 continue;
             }
+            if txn.writes.len() + 1 + live.parts as usize > ops {
+                break;
+            }
             let id = entry.id;
-            let done = store::to_value(&JobRecord::Done);
-            txn.put(store::job_key(id), live.version, done);
+            let at_ms = Some(self.wall);
+            live.end(id, &JobRecord::Done { at_ms }, txn);
             books.jobs[job.at()].finishing = true;
             finals.push((job, id));
         }
@@ -365,7 +372,8 @@
             }
             for (_, id) in flush.finals {
                 tracing::info!(job = %id, "done");
-                let change = self.directory.put_job(id, JobRecord::Done, version);
+                let at_ms = Some(flush.at_ms);
+                let change = self.directory.put_job(id, JobRecord::Done { at_ms }, version);
                 self.changed(change);
             }
             return;
@@ -425,13 +433,7 @@
         };
         match (doubt, &mut leading.books) {
             (Doubt::Slot(slot), _) => leading.notes.slots[slot as usize] = Slot::Free(version),
-            (Doubt::Page(job, chunk), Some(books)) => {
-                if let Some(&index) = books.job_index.get(&job) {
-                    let stands = &mut books.jobs[index.at()].chunks[chunk as usize];
-                    stands.version = version;
-                    stands.in_flight = false;
-                }
-            }
+            (Doubt::Page(job, page), Some(books)) => books.enter_page(job, page, version),
             (Doubt::Page(..), None) => {}
         }
     }
@@ -512,7 +514,8 @@
             if bytes > TXN_BYTES && !txn.writes.is_empty() {
                 break;
             }
-            txn.put(store::chunk_key(id, chunk), stands.version, value);
+            let page = PageNumber::new(books.chunk_len, chunk);
+            txn.put(store::page_key(id, page), stands.version, value);
             books.jobs[job.at()].chunks[chunk as usize].in_flight = true;
             paging.pages.push(name);
         }
@@ -540,8 +543,9 @@
             return;
         };
         if fate == Fate::Doubtful {
+            let length = books.chunk_len;
             for (_, id, chunk) in paging.pages {
-                self.check(lease, Doubt::Page(id, chunk));
+                self.check(lease, Doubt::Page(id, PageNumber::new(length, chunk)));
             }
             return;
         }
@@ -614,17 +618,12 @@
             })
             .collect();
         let mut txn = Txn::only_if(leader);
-        let mut jobs = Vec::new();
+        let mut sweeping = Vec::new();
         for index in over {
             let entry = books.job(index);
-            let keys: Vec<(String, u64)> = entry
-                .chunks
-                .iter()
-                .enumerate()
-                .filter(|(_, chunk)| chunk.version > 0)
-                .map(|(number, chunk)| (store::chunk_key(entry.id, number as u32), chunk.version))
-                .collect();
-            if keys.is_empty() {
+            let id = entry.id;
+            let pages = books.pages(index);
+            if pages.is_empty() {
                 books.free_job(index);
                 continue;
             }
@@ -632,8 +631,9 @@
             if room == 0 {
                 break;
             }
-            jobs.push(entry.id);
-            for (key, version) in keys.into_iter().take(room) {
+            for (page, version) in pages.into_iter().take(room) {
+                sweeping.push((id, page));
+                let key = store::page_key(id, page);
                 txn.conditions.push(Condition {
                     key: key.clone(),
                     version,
@@ -644,64 +644,49 @@
         if txn.writes.is_empty() {
             return;
         }
-        notes.sweeping = jobs.clone();
+        notes.sweeping = sweeping;
         let lease = leading.lease;
         self.state(
-            StateTag::Sweep { lease, jobs },
+            StateTag::Sweep { lease },
             StateRequest::Txn(txn),
             Urgency::Normal,
             TXN_TIMEOUT,
         );
     }
 
-    pub(super) fn swept(
-        &mut self,
-        lease: u64,
-        jobs: &[JobId],
-        result: Result<StateReply, StateError>,
-    ) {
+    pub(super) fn swept(&mut self, lease: u64, result: Result<StateReply, StateError>) {
         let Some(fate) = self.fate(lease, result) else {
             return;
         };
         let Some(leading) = &mut self.leading else {
             return;
         };
-        leading.notes.sweeping.clear();
+        let swept = std::mem::take(&mut leading.notes.sweeping);
+        let mut doubts = Vec::new();
         let Some(books) = &mut leading.books else {
             return;
         };
-        let known = jobs
-            .iter()
-            .filter_map(|id| Some((*id, *books.job_index.get(id)?)));
-        let known: Vec<(JobId, JobIx)> = known.collect();
         match fate {
             Fate::Stored(_) => {
-                let mut left = self.config.settings.state.txn_ops;
-                for (_, index) in known {
-                    for chunk in &mut books.jobs[index.at()].chunks {
-                        if chunk.version > 0 && left > 0 {
-                            chunk.version = 0;
-                            left -= 1;
-                        }
-                    }
+                for (id, page) in swept {
+                    books.enter_page(id, page, 0);
                 }
             }
             // Deleted after all, or a late write of our own came in between.
             Fate::Doubtful => {
-                let mut doubts = Vec::new();
-                for (id, index) in known {
-                    for (chunk, number) in books.jobs[index.at()].chunks.iter_mut().zip(0..) {
-                        if chunk.version > 0 {
-                            chunk.in_flight = true;
-                            doubts.push(Doubt::Page(id, number));
-                        }
+                for (id, page) in swept {
+                    if let Some(chunk) = page.chunk(books.chunk_len)
+                        && let Some(index) = books.job_index.get(&id)
+                    {
+                        books.jobs[index.at()].chunks[chunk as usize].in_flight = true;
                     }
-                }
-                for doubt in doubts {
-                    self.check(lease, doubt);
+                    doubts.push(Doubt::Page(id, page));
                 }
             }
             Fate::Refused => {}
         }
+        for doubt in doubts {
+            self.check(lease, doubt);
+        }
     }
 }
--- a/src/coordination/takeover.rs
+++ b/src/coordination/takeover.rs
@@ -7,7 +7,7 @@
     bookkeeping::{
         Millis,
         books::{Attempt, Books, JobIx, MachineState, Phase, TypeIx},
-        store::{self, ChunkRecord, ImagesRecord, JobNote, LogRecord, MachineNote, Note, TaskNote},
+        store::{self, ChunkRecord, ImagesRecord, JobNote, LogRecord, MachineNote, Note, PageNumber, TaskNote},
     },
     protocol::{
         ids::JobId,
@@ -21,19 +21,21 @@
 /// What has been read of the predecessors' notes.
 #[derive(Default)]
 pub struct Found {
-    /// Job, chunk, version, record.
-    pages: Vec<(JobId, u32, u64, ChunkRecord)>,
+    /// Job, number, version, record.
+    pages: Vec<(JobId, PageNumber, u64, ChunkRecord)>,
     /// Slot, version, record.
     entries: Vec<(u32, u64, LogRecord)>,
     images: Vec<ImagesRecord>,
     last_key: Option<String>,
+    /// All has been read.
+    complete: bool,
 }
 
 impl Found {
     fn add(&mut self, row: Row) {
-        if let Some((id, chunk)) = store::parse_chunk_key(&row.key) {
+        if let Some((id, page)) = store::parse_page_key(&row.key) {
             match serde_json::from_value(row.value) {
-                Ok(record) => self.pages.push((id, chunk, row.version, record)),
+                Ok(record) => self.pages.push((id, page, row.version, record)),
                 Err(error) => tracing::error!(key = row.key, %error, "a page can't be read"),
             }
         } else if let Some(slot) = store::parse_slot_key(&row.key) {
@@ -152,24 +154,36 @@
                 leading.found.add(row);
             }
             if !page.more {
+                leading.found.complete = true;
                 return self.make_books();
             }
         }
         self.read_books();
     }
 
-    /// Rebuilds the books. Whatever predecessors placed and did not see through may be running.
-    fn make_books(&mut self) {
-        let Some(mut leading) = self.leading.take() else {
+    /// Rebuilds the books, once all notes have been read and a sync sent since the takeover has told
+    /// which jobs there are: what predecessors noted of a job that is not known to be live would be taken
+    /// for a job that is over, and a job that is not known to be released would be missing. Whatever
+    /// they placed and did not see through may be running.
+    pub(super) fn make_books(&mut self) {
+        let synced = self.sync.ok;
+        let Some(mut leading) = self.leading.take_if(|leading| {
+            let known = synced.is_some_and(|at| at >= leading.takeover_at);
+            leading.books.is_none() && leading.found.complete && known
+        }) else {
             return;
         };
         let mut books = Books::new(&self.config.settings, &self.types);
         books.since = self.now;
         books.set_time_of_day(self.now, self.wall);
         let mut live: Vec<_> = self.directory.live().collect();
-        live.sort_by_key(|(id, job)| (job.at_ms, *id));
+        live.sort_by_key(|(id, job)| (job.released_ms, *id));
+        let mut needed = Vec::new();
         for (_, job) in live {
-            books.add_job(&job.spec, job.at_ms, self.now);
+            needed.extend(&job.spec.awaits);
+            if job.left == 0 {
+                books.add_released(&job.spec, (job.at_ms, job.released_ms), self.now);
+            }
         }
         let mut found = std::mem::take(&mut leading.found);
         for record in std::mem::take(&mut found.images) {
@@ -219,12 +233,8 @@
             };
             enter(&mut books, job, noted, &leading);
         }
-        for (id, chunk, version, _) in &found.pages {
-            if let Some(&job) = books.job_index.get(id)
-                && let Some(stands) = books.jobs[job.at()].chunks.get_mut(*chunk as usize)
-            {
-                stands.version = *version;
-            }
+        for &(id, page, version, _) in &found.pages {
+            books.enter_page(id, page, version);
         }
         leading.notes = Notes::inherit(&found.entries, &books);
         for job in closing {
@@ -254,6 +264,7 @@
         }
         leading.books = Some(books);
         self.leading = Some(leading);
+        self.pull(needed);
         self.list_machines();
     }
 }
@@ -282,6 +293,7 @@
         checkpoint_s: 0.0,
         save_s: 0.0,
         deadline_s: None,
+        awaits: Vec::new(),
     };
     books.add_job(&spec, 0, now)
 }
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -12,7 +12,7 @@
     protocol::{
         ids::JobId,
         job::{JobStatus, JobView, Kind, Submission},
-        state::{StateError, StateReply, StateRequest, Txn, Urgency},
+        state::{StateError, StateReply, StateRequest, Txn, Urgency, Write},
     },
 };
 
@@ -88,8 +88,9 @@
             Ask::Submit(submission) => match self.directory.get(submission.id) {
                 Some(_) => self.read(id, Pending::Submit(submission)),
                 None => match self.verdict(&submission) {
-                    Verdict::Fits => self.accept(id, submission),
-                    // It may have been accepted elsewhere, when things looked different.
+                    Verdict::Fits => self.accept(id, submission, false),
+                    // It may have been accepted elsewhere, when things looked different, and so may a
+                    // job that it awaits.
                     Verdict::Never(_) => self.after_sync(id, Pending::Submit(submission)),
                     Verdict::Unknown => self.answer(id, Answer::later("starting", 1)),
                 },
@@ -105,12 +106,13 @@
     /// Final states are answered from memory, everything else after a sync. A cancellation of a
     /// job that is known to be live goes straight to its key, which decides.
     fn read(&mut self, id: AskId, pending: Pending) {
-        match (self.directory.get(pending.job()), &pending) {
-            (Some(Entry::Final(_)), _) | (Some(Entry::Live(_)), Pending::Cancel { .. }) => {
-                self.pending.insert(id, pending);
-                self.resolve(id);
-            }
-            _ => self.after_sync(id, pending),
+        let known = self.directory.get(pending.job());
+        let cancel = matches!(pending, Pending::Cancel { .. });
+        if known.is_some_and(|entry| cancel || entry.ended().is_some()) {
+            self.pending.insert(id, pending);
+            self.resolve(id);
+        } else {
+            self.after_sync(id, pending);
         }
     }
 
@@ -122,13 +124,9 @@
         let job = pending.job();
         let known = self.directory.get(job).cloned();
         match (known, pending) {
-            (Some(Entry::Final(status)), _) => {
-                let view = self.view(job, Some(status));
-                self.answer(id, Answer::with(200, &view));
-            }
-            (Some(Entry::Live(_)), Pending::Poll(_) | Pending::Submit(_)) => {
-                let view = self.view(job, None);
-                self.answer(id, Answer::with(200, &view));
+            (Some(Entry::Live(_)), Pending::Poll(_) | Pending::Submit(_))
+            | (Some(Entry::Doomed(_) | Entry::Final(..)), _) => {
+                self.answer(id, Answer::with(200, &self.view(job)));
             }
             (Some(Entry::Live(live)), Pending::Cancel { id: job, tries }) => {
                 if tries >= CANCEL_TRIES {
@@ -142,8 +140,7 @@
                     },
                 );
                 let mut txn = Txn::default();
-                let cancelled = store::to_value(&JobRecord::Cancelled);
-                txn.put(store::job_key(job), live.version, cancelled);
+                live.end(job, &JobRecord::Cancelled, &mut txn);
                 self.state(
                     StateTag::Cancel(id),
                     StateRequest::Txn(txn),
@@ -152,7 +149,7 @@
                 );
             }
             (None, Pending::Submit(submission)) => match self.verdict(&submission) {
-                Verdict::Fits => self.accept(id, submission),
+                Verdict::Fits => self.accept(id, submission, true),
                 Verdict::Never(reason) => self.answer(id, Answer::error(422, reason)),
                 Verdict::Unknown => self.answer(id, Answer::later("starting", 1)),
             },
@@ -204,42 +201,63 @@
         self.answer(id, answer);
     }
 
-    fn accept(&mut self, id: AskId, submission: Box<Submission>) {
-        let value = store::to_value(&JobRecord::Live {
-            at_ms: self.wall,
-            spec: submission.clone(),
-        });
-        if value.to_string().len() as f64 > self.config.settings.state.value_kb * 1024.0 - 64.0 {
-            return self.answer(id, Answer::error(400, "too many names"));
+    /// `synced`: the view is as new as the request.
+    fn accept(&mut self, id: AskId, submission: Box<Submission>, synced: bool) {
+        let limits = &self.config.settings.state;
+        let (record, texts) = store::live_record(self.wall, &submission, limits.value_bytes());
+        let job = submission.id;
+        if texts.len() >= limits.txn_ops as usize {
+            // It may have been accepted when the state service took more.
+            return if synced {
+                self.answer(id, Answer::error(400, "too many names"))
+            } else {
+                self.after_sync(id, Pending::Submit(submission))
+            };
         }
         let mut txn = Txn::default();
-        txn.put(store::job_key(submission.id), 0, value);
+        txn.put(store::job_key(job), 0, store::to_value(&record));
+        for (text, part) in texts.iter().zip(0..) {
+            txn.writes.push(Write::Put {
+                key: store::part_key(job, part),
+                value: store::to_value(text),
+                lease: None,
+            });
+        }
         self.pending.insert(id, Pending::Submit(submission));
         self.state(
-            StateTag::Submit(id),
+            StateTag::Submit {
+                id,
+                whole: texts.is_empty(),
+            },
             StateRequest::Txn(txn),
             Urgency::Prompt,
             TXN_TIMEOUT,
         );
     }
 
-    pub(super) fn submit_answered(&mut self, id: AskId, result: Result<StateReply, StateError>) {
+    pub(super) fn submit_answered(
+        &mut self,
+        id: AskId,
+        whole: bool,
+        result: Result<StateReply, StateError>,
+    ) {
         match result {
+            // What is kept under several keys is read like everybody else's.
+            Ok(StateReply::Committed(_)) if !whole => self.sync_again(id),
             Ok(StateReply::Committed(version)) => {
                 let Some(Pending::Submit(submission)) = self.pending.remove(&id) else {
                     return;
                 };
                 let job = submission.id;
                 tracing::info!(%job, class = submission.class, team = submission.team,
-                    tasks = submission.tasks, "accepted");
+                    tasks = submission.tasks, awaits = submission.awaits.len(), "accepted");
                 let record = JobRecord::Live {
                     at_ms: self.wall,
                     spec: submission,
                 };
                 let change = self.directory.put_job(job, record, version);
                 self.changed(change);
-                let view = self.view(job, None);
-                self.answer(id, Answer::with(201, &view));
+                self.answer(id, Answer::with(201, &self.view(job)));
             }
             // Somebody was first: another node, or an attempt of ours that seemed lost.
             Ok(StateReply::Conflict(_)) => self.sync_again(id),
@@ -277,8 +295,7 @@
                 tracing::info!(%job, "cancelled");
                 let change = self.directory.put_job(job, JobRecord::Cancelled, version);
                 self.changed(change);
-                let view = self.view(job, Some(JobStatus::Cancelled));
-                self.answer(id, Answer::with(200, &view));
+                self.answer(id, Answer::with(200, &self.view(job)));
             }
             Ok(StateReply::Conflict(_)) | Err(StateError::NoAnswer) => self.sync_again(id),
             _ => self.refuse(id),
@@ -334,10 +351,20 @@
         if over(team.cpus_max, job.cpus) || over(team.gpus_max, job.gpus) {
             return Verdict::Never("the job needs more than its team's limit");
         }
+        for awaited in &job.awaits {
+            match self.directory.get(*awaited) {
+                None => return Verdict::Never("awaits a job that was never accepted"),
+                Some(Entry::Live(other)) if other.spec.kind == Kind::Service => {
+                    return Verdict::Never("awaits a service, which is never done");
+                }
+                _ => {}
+            }
+        }
         Verdict::Fits
     }
 
-    fn view(&self, id: JobId, status: Option<JobStatus>) -> JobView {
+    fn view(&self, id: JobId) -> JobView {
+        let ended = self.directory.get(id).and_then(Entry::ended);
         let (done, running) = match &self.leading {
             Some(leading) => leading.counts(id),
             None => self
@@ -346,7 +373,7 @@
                 .map(|progress| (progress.done, progress.running)),
         }
         .unwrap_or_default();
-        let status = status.unwrap_or(if running > 0 {
+        let status = ended.unwrap_or(if running > 0 {
             JobStatus::Running
         } else {
             JobStatus::Pending
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -211,10 +211,11 @@
 
 impl Io {
     fn new(config: &Config, owner: mpsc::UnboundedSender<Command>, metrics: Arc<Metrics>) -> Self {
+        let state = config.settings.state.strictest();
         let limits = Limits {
             nodes: config.members.len() as f64 + 1.0,
-            rps: config.settings.state.rps,
-            write_rps: config.settings.state.write_rps,
+            rps: state.rps,
+            write_rps: state.write_rps,
             cloud_rps: config.settings.cloud.rps,
         };
         let sockets = f64::from(config.settings.limits.sockets);
--- a/src/protocol/job.rs
+++ b/src/protocol/job.rs
@@ -1,6 +1,8 @@
 //! Users -> nodes: submissions and what is answered about a job.
 
-use serde::{Deserialize, Serialize};
+use std::collections::HashSet;
+
+use serde::{Deserialize, Deserializer, Serialize};
 
 use super::{DecodeError, ids::JobId};
 
@@ -73,6 +75,22 @@
     pub save_s: f64,
     #[serde(rename = "due_s", default)]
     pub deadline_s: Option<f64>,
+    /// Jobs that must be done before a task of this one starts, each once. Left out while empty, as
+    /// versions that do not know it wrote it.
+    #[serde(
+        default,
+        deserialize_with = "listed_once",
+        skip_serializing_if = "Vec::is_empty"
+    )]
+    pub awaits: Vec<JobId>,
+}
+
+/// A list that may be null, without repetitions.
+fn listed_once<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<JobId>, D::Error> {
+    let mut jobs = Option::<Vec<JobId>>::deserialize(deserializer)?.unwrap_or_default();
+    let mut seen = HashSet::new();
+    jobs.retain(|job| seen.insert(*job));
+    Ok(jobs)
 }
 
 impl Submission {
--- a/tests/formats.rs
+++ b/tests/formats.rs
@@ -72,6 +72,7 @@
                 checkpoint_s: times.1,
                 save_s: times.2,
                 deadline_s: places.2,
+                awaits: Vec::new(),
             },
         )
 }
--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -873,6 +873,7 @@
             checkpoint_s: 0.0,
             save_s: 0.0,
             deadline_s: None,
+            awaits: Vec::new(),
         }
     }
 
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -79,6 +79,7 @@
         checkpoint_s: 0.0,
         save_s: 0.0,
         deadline_s: None,
+        awaits: Vec::new(),
     }
 }
 
