--- a/src/coordination/directory.rs
+++ b/src/coordination/directory.rs
@@ -265,9 +265,10 @@
         let Some(split) = self.split.get(&id) else {
             return Change::Nothing;
         };
-        let Some(record) = split.record.filter(|(_, parts, _)| {
-            (0..*parts).all(|part| split.texts.contains_key(&part))
-        }) else {
+        let Some(record) = split
+            .record
+            .filter(|(_, parts, _)| (0..*parts).all(|part| split.texts.contains_key(&part)))
+        else {
             return Change::Nothing;
         };
         let spec = store::joined(split.texts.values().map(String::as_str));
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -210,31 +210,67 @@
 /// Which request to the state service an answer belongs to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StateTag {
-    Load { generation: u64 },
-    Watch { generation: u64 },
-    Sync { generation: u64 },
+    Load {
+        generation: u64,
+    },
+    Watch {
+        generation: u64,
+    },
+    Sync {
+        generation: u64,
+    },
     /// `whole`: the record is kept under one key.
-    Submit { id: AskId, whole: bool },
+    Submit {
+        id: AskId,
+        whole: bool,
+    },
     SubmitCheck(AskId),
     Cancel(AskId),
     Grant,
-    Acquire { lease: u64 },
-    AcquireCheck { lease: u64 },
-    Touch { lease: u64 },
+    Acquire {
+        lease: u64,
+    },
+    AcquireCheck {
+        lease: u64,
+    },
+    Touch {
+        lease: u64,
+    },
     Release,
-    Books { lease: u64 },
-    Flush { lease: u64 },
-    Check { lease: u64, doubt: notes::Doubt },
-    Page { lease: u64 },
-    Fence { lease: u64 },
-    FenceCheck { lease: u64 },
-    Sweep { lease: u64 },
-    Ends { lease: u64 },
+    Books {
+        lease: u64,
+    },
+    Flush {
+        lease: u64,
+    },
+    Check {
+        lease: u64,
+        doubt: notes::Doubt,
+    },
+    Page {
+        lease: u64,
+    },
+    Fence {
+        lease: u64,
+    },
+    FenceCheck {
+        lease: u64,
+    },
+    Sweep {
+        lease: u64,
+    },
+    Ends {
+        lease: u64,
+    },
     Types,
     Images,
     DeputyGrant,
-    DeputyPut { lease: u64 },
-    DeputyTouch { lease: u64 },
+    DeputyPut {
+        lease: u64,
+    },
+    DeputyTouch {
+        lease: u64,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/src/coordination/notes.rs
+++ b/src/coordination/notes.rs
@@ -280,7 +280,11 @@
         };
         let mut bytes = 512;
         // Some writes are left for the ends of jobs: others may wait for them.
-        let left = if books.complete.is_empty() { 0 } else { (ops / 4).max(1) };
+        let left = if books.complete.is_empty() {
+            0
+        } else {
+            (ops / 4).max(1)
+        };
         while !books.unlogged.is_empty() && txn.writes.len() + left < ops {
             let room = value_bytes.min(TXN_BYTES.saturating_sub(bytes));
             if room < value_bytes.min(4096) && !entries.is_empty() {
@@ -373,7 +377,9 @@
             for (_, id) in flush.finals {
                 tracing::info!(job = %id, "done");
                 let at_ms = Some(flush.at_ms);
-                let change = self.directory.put_job(id, JobRecord::Done { at_ms }, version);
+                let change = self
+                    .directory
+                    .put_job(id, JobRecord::Done { at_ms }, version);
                 self.changed(change);
             }
             return;
--- a/src/coordination/pipelines.rs
+++ b/src/coordination/pipelines.rs
@@ -138,7 +138,8 @@
             priority: spec.priority,
             finish_ms: Vec::new(),
         });
-        all.finish_ms.extend(ends.map(|end| end.saturating_sub(run_ms)));
+        all.finish_ms
+            .extend(ends.map(|end| end.saturating_sub(run_ms)));
         all.keep(KEPT);
         let urgent = pull.map_or(spec.priority, |pull| pull.priority.min(spec.priority));
         all.priority = all.priority.min(urgent);
--- a/src/coordination/takeover.rs
+++ b/src/coordination/takeover.rs
@@ -7,7 +7,10 @@
     bookkeeping::{
         Millis,
         books::{Attempt, Books, JobIx, MachineState, Phase, TypeIx},
-        store::{self, ChunkRecord, ImagesRecord, JobNote, LogRecord, MachineNote, Note, PageNumber, TaskNote},
+        store::{
+            self, ChunkRecord, ImagesRecord, JobNote, LogRecord, MachineNote, Note, PageNumber,
+            TaskNote,
+        },
     },
     protocol::{
         ids::JobId,
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -87,10 +87,14 @@
         match ask {
             Ask::Submit(submission) => match self.directory.get(submission.id) {
                 Some(_) => self.read(id, Pending::Submit(submission)),
+                // What its user has been told of the jobs that it awaits has to be known: accepted as one
+                // that waits, though one of them is cancelled, it would be called pending.
+                None if !submission.awaits.is_empty() => {
+                    self.after_sync(id, Pending::Submit(submission));
+                }
                 None => match self.verdict(&submission) {
                     Verdict::Fits => self.accept(id, submission, false),
-                    // It may have been accepted elsewhere, when things looked different, and so may a
-                    // job that it awaits.
+                    // It may have been accepted elsewhere, when things looked different.
                     Verdict::Never(_) => self.after_sync(id, Pending::Submit(submission)),
                     Verdict::Unknown => self.answer(id, Answer::later("starting", 1)),
                 },
