--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -254,7 +254,8 @@
                 };
                 let job = submission.id;
                 tracing::info!(%job, class = submission.class, team = submission.team,
-                    tasks = submission.tasks, awaits = submission.awaits.len(), "accepted");
+                    tasks = submission.tasks, awaits = ?submission.awaits, due_s = submission.deadline_s,
+                    "accepted");
                 let record = JobRecord::Live {
                     at_ms: self.wall,
                     spec: submission,
