What only the oldest entries tell is told again where newer ones have room

An entry now is forgotten as well once later ones tell of all its tasks; entries with room tell again what the oldest do. Pages remain for jobs of more than 4000 tasks and for a ring that is nearly full.

--- a/src/bookkeeping/books.rs
+++ b/src/bookkeeping/books.rs
@@ -133,6 +133,8 @@
     pub status: TaskStatus,
     /// The number of the latest attempt; 0: never placed.
     pub attempt: u32,
+    /// The last entry of the log that tells of it; 0: none that counts.
+    pub logged: u64,
 }
 
 /// How the page on a stretch of a job's tasks stands with the store.
@@ -730,6 +732,7 @@
                 Task {
                     status: TaskStatus::Waiting,
                     attempt: 0,
+                    logged: 0,
                 };
                 count as usize
             ],
--- a/src/coordination/directory.rs
+++ b/src/coordination/directory.rs
@@ -723,7 +723,8 @@
             let mut ends: Vec<Option<JobRecord>> = Vec::new();
             for id in 0..count {
                 let all: BTreeSet<u64> = (0..rng.random_range(0..4))
-                    .filter_map(|_| (id > 0).then(|| rng.random_range(0..id)))
+                    .map(|_| rng.random_range(0..id.max(1)))
+                    .filter(|_| id > 0)
                     .collect();
                 let over =
                     |each: &u64| matches!(ends[*each as usize], Some(JobRecord::Done { .. }));
--- a/src/coordination/notes.rs
+++ b/src/coordination/notes.rs
@@ -3,8 +3,9 @@
 //! The store takes few writes a second, and tasks start and end far more often. So one entry of the
 //! log carries all that changed since the one before, whatever jobs it belongs to. Entries live in a
 //! ring of keys, each written against the version that it is known to have: a write that is applied
-//! late, after its slot was used again, changes nothing. Before the ring comes round, pages are
-//! written for what the oldest entries name; later entries say from where on the log counts.
+//! late, after its slot was used again, changes nothing. Before the ring comes round, what only the
+//! oldest entries tell is told again where newer ones have room, or, of large jobs, written into pages;
+//! later entries say from where on the log counts.
 
 use std::collections::{BTreeSet, HashSet, VecDeque};
 
@@ -31,16 +32,26 @@
 const TXN_BYTES: usize = 48 * 1024;
 /// The part of the leader's writes that the log may take.
 const LOG_PART: f64 = 0.4;
-/// Entries from which on the oldest are replaced by pages.
+/// Entries from which on the oldest are replaced.
 const LONG: usize = store::SLOTS as usize / 2;
 const LONG_BYTES: usize = 256 * 1024;
+/// Entries from which on that is worth writes of its own.
+const PRESSED: usize = LONG * 3 / 2;
+/// What the oldest entries tell is told again for jobs of up to so many tasks. Of larger ones the ring
+/// could not hold all; they have pages.
+const TOLD_AGAIN: usize = 4000;
+/// Tasks that one write tells of at the most, and how many of those once more.
+const AT_ONCE: usize = 2000;
+const AGAIN: usize = 100;
+/// Entries from which on pages are written for whatever the oldest tell.
+const FULL: usize = LONG * 7 / 4;
 /// Least time between two writes of pages, while there is room in the ring.
 const PAGE_EVERY: Millis = 250;
 const SWEEP: Millis = 1000;
 const IMAGES_EVERY: Millis = 10_000;
 
-/// A stretch of a job's tasks.
-type Stretch = (JobIx, JobId, u32);
+/// A task that an entry names: its job's place in the books and id, and its number.
+type Named = (JobIx, JobId, u32);
 
 /// An entry that a successor would read.
 struct LiveEntry {
@@ -49,7 +60,7 @@
     /// The version of the slot's key; while the entry is being written, the one before.
     version: u64,
     bytes: usize,
-    names: Vec<Stretch>,
+    names: Vec<Named>,
 }
 
 #[derive(Clone, Copy)]
@@ -70,7 +81,8 @@
 
 /// Pages under way, each with the last entry that it covers.
 struct Paging {
-    pages: Vec<Stretch>,
+    /// Stretches of jobs' tasks.
+    pages: Vec<(JobIx, JobId, u32)>,
     covers: u64,
 }
 
@@ -136,7 +148,7 @@
 
 impl Notes {
     /// Goes on where the predecessors' entries end. `entries`: slot, version, record.
-    pub fn inherit(entries: &[(u32, u64, LogRecord)], books: &Books) -> Self {
+    pub fn inherit(entries: &[(u32, u64, LogRecord)], books: &mut Books) -> Self {
         let mut notes = Notes::default();
         for (slot, version, record) in entries {
             if let Some(known) = notes.slots.get_mut(*slot as usize) {
@@ -155,7 +167,12 @@
                 let index = *books.job_index.get(id)?;
                 Some(tasks.iter().map(move |note| (index, *id, note.0)))
             });
-            let names = stretches(books, names.flatten());
+            let names: Vec<Named> = names.flatten().collect();
+            for &(job, _, task) in &names {
+                if let Some(task) = books.jobs[job.at()].tasks.get_mut(task as usize) {
+                    task.logged = record.seq;
+                }
+            }
             notes.add_live(LiveEntry {
                 seq: record.seq,
                 slot: *slot,
@@ -191,28 +208,70 @@
         self.live.len()
     }
 
+    /// Forgets the oldest entries as long as all that they tell is told elsewhere.
+    fn forget(&mut self, books: &Books, held: &HashSet<JobIx>) {
+        while let Some(entry) = self.live.front()
+            && self.long()
+            && !entry
+                .names
+                .iter()
+                .any(|each| counts(books, held, each, entry.seq))
+        {
+            self.first = entry.seq + 1;
+            self.live_bytes -= entry.bytes;
+            self.slots[entry.slot as usize] = Slot::Free(entry.version);
+            self.live.pop_front();
+        }
+    }
+
+    /// Tasks of which only the oldest entries tell, as many as a write may have room for.
+    fn again(&mut self, books: &Books) -> Vec<(JobIx, u32)> {
+        let mut again = BTreeSet::new();
+        if !self.long() {
+            return Vec::new();
+        }
+        let held = held(books);
+        self.forget(books, &held);
+        for entry in &self.live {
+            if again.len() >= AGAIN {
+                break;
+            }
+            for name in &entry.names {
+                let &(job, _, task) = name;
+                if books.stored(job, task)
+                    && counts(books, &held, name, entry.seq)
+                    && books.job(job).tasks.len() <= TOLD_AGAIN
+                {
+                    again.insert((job, task));
+                }
+            }
+        }
+        again.into_iter().collect()
+    }
+
+    fn pressed(&self) -> bool {
+        self.live.len() > PRESSED
+    }
+
     fn long(&self) -> bool {
         self.live.len() > LONG || self.live_bytes > LONG_BYTES
     }
 }
 
-/// The stretches that tasks lie in, each once.
-fn stretches(books: &Books, tasks: impl Iterator<Item = (JobIx, JobId, u32)>) -> Vec<Stretch> {
-    tasks
-        .map(|(job, id, task)| (job, id, task / books.chunk_len))
-        .collect::<BTreeSet<_>>()
-        .into_iter()
-        .collect()
-}
-
-/// Whether a page has to be written before entry `seq`, which names the stretch, may be forgotten.
-/// Of a job that is over, only what may still be running counts.
-fn uncovered(books: &Books, held: &HashSet<JobIx>, &(job, id, chunk): &Stretch, seq: u64) -> bool {
+/// Whether entry `seq` must not be forgotten for what it tells of a task: no later one tells of it, and
+/// no page. Of a job that is over, only what may still be running counts.
+fn counts(books: &Books, held: &HashSet<JobIx>, &(job, id, task): &Named, seq: u64) -> bool {
     let known = books.job_index.get(&id) == Some(&job);
     if !known || (books.job(job).closed && !held.contains(&job)) {
         return false;
     }
-    books.job(job).chunks[chunk as usize].paged < seq
+    let entry = books.job(job);
+    let logged = entry
+        .tasks
+        .get(task as usize)
+        .is_some_and(|task| task.logged > seq);
+    let paged = entry.chunks.get((task / books.chunk_len) as usize);
+    !logged && paged.is_some_and(|page| page.paged < seq)
 }
 
 /// Jobs of which something may be on a machine.
@@ -244,7 +303,7 @@
         if notes.flush.is_some()
             || notes.flush_after > self.now
             || notes.flushed_at + gap > self.now
-            || (books.unlogged.is_empty() && books.complete.is_empty())
+            || (books.unlogged.is_empty() && books.complete.is_empty() && !notes.pressed())
         {
             return;
         }
@@ -266,11 +325,13 @@
         );
     }
 
-    /// Adds entries of the log to a transaction, as many as it holds and what changed fills.
+    /// Adds entries of the log to a transaction, as many as it holds and what changed fills. Where the
+    /// last has room, it tells again what else only the oldest entries tell: most entries are short, as
+    /// they come many times a second, and were the ring to fill up with them, nothing could start.
     fn log(&mut self, txn: &mut Txn) -> Vec<LiveEntry> {
         let limits = &self.config.settings.state;
         let ops = limits.txn_ops as usize;
-        let value_bytes = (limits.value_kb * 1024.0) as usize;
+        let value_bytes = limits.value_bytes();
         let mut entries: Vec<LiveEntry> = Vec::new();
         let Some(leading) = &mut self.leading else {
             return entries;
@@ -283,6 +344,11 @@
         else {
             return entries;
         };
+        // First what changed, then what is told again.
+        let mut tasks: Vec<_> = books.unlogged.iter().copied().take(AT_ONCE).collect();
+        let changed = tasks.len();
+        tasks.extend(notes.again(books));
+        let mut at = 0;
         let mut bytes = 512;
         // Some writes are left for the ends of jobs: others may wait for them.
         let left = if books.complete.is_empty() {
@@ -290,7 +356,11 @@
         } else {
             (ops / 4).max(1)
         };
-        while !books.unlogged.is_empty() && txn.writes.len() + left < ops {
+        while at < tasks.len() && txn.writes.len() + left < ops {
+            // What is told again has a write of its own only when the ring is getting full.
+            if at >= changed && !(notes.pressed() && entries.is_empty()) {
+                break;
+            }
             let room = value_bytes.min(TXN_BYTES.saturating_sub(bytes));
             if room < value_bytes.min(4096) && !entries.is_empty() {
                 break;
@@ -300,16 +370,21 @@
             };
             let seq = notes.next_seq;
             notes.next_seq += 1;
-            let mut tasks = books.unlogged.iter().copied().peekable();
-            let record = store::log_record(books, &mut tasks, (seq, notes.first), room);
-            let rest = tasks.peek().copied();
-            let later = rest.map_or_else(BTreeSet::new, |rest| books.unlogged.split_off(&rest));
-            let taken = std::mem::replace(&mut books.unlogged, later);
-            let named = taken
+            let mut rest = tasks[at..].iter().copied().peekable();
+            let record = store::log_record(books, &mut rest, (seq, notes.first), room);
+            let told = record
+                .jobs
                 .iter()
-                .map(|&(job, task)| (job, books.job(job).id, task));
-            let names = stretches(books, named);
-            books.logging.extend(taken);
+                .map(|(.., told)| told.len())
+                .sum::<usize>();
+            let told = &tasks[at..at + told];
+            at += told.len();
+            for task in told {
+                books.unlogged.remove(task);
+            }
+            books.logging.extend(told);
+            let named = |&(job, task): &(JobIx, u32)| (job, books.job(job).id, task);
+            let names = told.iter().map(named).collect();
             let value = store::to_value(&record);
             let size = value.to_string().len();
             bytes += size + 256;
@@ -377,6 +452,13 @@
         if let Fate::Stored(version) = fate {
             books.attend(&logged);
             for entry in flush.entries {
+                for &(job, id, task) in &entry.names {
+                    if books.job_index.get(&id) == Some(&job)
+                        && let Some(task) = books.jobs[job.at()].tasks.get_mut(task as usize)
+                    {
+                        task.logged = entry.seq;
+                    }
+                }
                 notes.add_live(LiveEntry { version, ..entry });
             }
             for (_, id) in flush.finals {
@@ -463,8 +545,8 @@
         }
     }
 
-    /// Writes pages for what the oldest entries name, once the log is long, and forgets those
-    /// entries.
+    /// Writes pages for what the oldest entries tell of large jobs, once the log is long, and of any job
+    /// when the ring is nearly full. Forgets entries that count no more.
     pub(super) fn page(&mut self) {
         let ops = self.config.settings.state.txn_ops as usize;
         let Some(leading) = &mut self.leading else {
@@ -475,25 +557,14 @@
         let Some(books) = &mut leading.books else {
             return;
         };
-        let pressed = notes.live.len() > LONG * 3 / 2;
-        let due = notes.paged_at + PAGE_EVERY <= self.now || pressed;
+        let full = notes.live.len() > FULL;
+        let due = notes.paged_at + PAGE_EVERY <= self.now || full;
         if notes.paging.is_some() || !notes.long() || !due {
             return;
         }
         notes.paged_at = self.now;
         let held = held(books);
-        while let Some(entry) = notes.live.front()
-            && notes.long()
-            && !entry
-                .names
-                .iter()
-                .any(|each| uncovered(books, &held, each, entry.seq))
-        {
-            notes.first = entry.seq + 1;
-            notes.live_bytes -= entry.bytes;
-            notes.slots[entry.slot as usize] = Slot::Free(entry.version);
-            notes.live.pop_front();
-        }
+        notes.forget(books, &held);
         if !notes.long() {
             return;
         }
@@ -512,8 +583,12 @@
             if txn.writes.len() >= (ops / 2).max(1) {
                 break;
             }
-            let (job, id, chunk) = name;
-            if !uncovered(books, &held, &name, seq) || !seen.insert((job, chunk)) {
+            let (job, id, task) = name;
+            let chunk = task / books.chunk_len;
+            if !counts(books, &held, &name, seq)
+                || !(full || books.job(job).tasks.len() > TOLD_AGAIN)
+                || !seen.insert((job, chunk))
+            {
                 continue;
             }
             let stands = books.job(job).chunks[chunk as usize];
@@ -528,7 +603,7 @@
             let page = PageNumber::new(books.chunk_len, chunk);
             txn.put(store::page_key(id, page), stands.version, value);
             books.jobs[job.at()].chunks[chunk as usize].in_flight = true;
-            paging.pages.push(name);
+            paging.pages.push((job, id, chunk));
         }
         if txn.writes.is_empty() {
             return;
--- a/src/coordination/takeover.rs
+++ b/src/coordination/takeover.rs
@@ -239,7 +239,7 @@
         for &(id, page, version, _) in &found.pages {
             books.enter_page(id, page, version);
         }
-        leading.notes = Notes::inherit(&found.entries, &books);
+        leading.notes = Notes::inherit(&found.entries, &mut books);
         for job in closing {
             books.close_job(job);
         }
--- a/tests/formats.rs
+++ b/tests/formats.rs
@@ -306,15 +306,17 @@
         #[serde(flatten)]
         pub job: JobNote,
         pub machines: Vec<Machine>,
-        pub tasks: Vec<(u32, u32, Note)>,
+        pub tasks: Vec<TaskNote>,
     }
 
+    pub type TaskNote = (u32, u32, Note);
+
     #[derive(Debug, PartialEq, Serialize, Deserialize)]
     pub struct Entry {
         pub seq: u64,
         pub first: u64,
         pub machines: Vec<Machine>,
-        pub jobs: Vec<(String, JobNote, Vec<(u32, u32, Note)>)>,
+        pub jobs: Vec<(String, JobNote, Vec<TaskNote>)>,
     }
 
     #[derive(Debug, PartialEq, Serialize, Deserialize)]
