Arrays wait a little before aimed work gives way, and leave what is within a guarantee

Now an array waits a quarter of what it can, 4 s at most, before work with aims has to give way, and takes nothing for its priority that another team runs within its guarantee.

--- a/src/bookkeeping/books.rs
+++ b/src/bookkeeping/books.rs
@@ -474,6 +474,8 @@
     pub classes: Names,
     /// By class.
     pub aims: Vec<Aims>,
+    /// Within how many seconds work within a guarantee is to start.
+    pub guarantee_s: Option<f64>,
     pub types: Vec<MachineType>,
     pub type_names: Names,
     pub jobs: Vec<Job>,
@@ -537,6 +539,7 @@
             images: Names::default(),
             classes: Names::default(),
             aims: Vec::new(),
+            guarantee_s: None,
             types: Vec::new(),
             type_names: Names::default(),
             jobs: Vec::new(),
@@ -582,6 +585,9 @@
     }
 
     fn aim(&mut self, objective: &Objective) {
+        if objective.kind == "guarantee" {
+            self.guarantee_s = objective.within_s;
+        }
         let Some(class) = &objective.class else {
             return;
         };
--- a/src/bookkeeping/scheduler.rs
+++ b/src/bookkeeping/scheduler.rs
@@ -13,6 +13,7 @@
 use super::{
     Millis,
     books::{Amounts, Attempt, Books, Job, JobIx, Machine, MachineIx, Phase, QueueKey, TeamIx},
+    millis,
 };
 use crate::protocol::job::{Kind, Priority};
 
@@ -20,6 +21,9 @@
 const WORK_FOR_WAIT: f64 = 12.0;
 /// Seconds of an array task's work that an aim is worth which the task is in time for.
 const SPOILED_S: f64 = 30.0;
+/// The part of the time that an array can wait, and how long at the most, before others give way for it.
+const PATIENCE: f64 = 0.25;
+const PATIENCE_S: f64 = 4.0;
 /// Machines fetch images at the rate of their type, give or take a third.
 const FETCH_VARIES: f64 = 1.33;
 /// What a start takes besides.
@@ -536,6 +540,19 @@
     }
 }
 
+/// Whether an array can still do without work that has aims of its own giving way: tasks end all the
+/// time, and the teams that have least get their places first. Those that were stopped at once had mostly
+/// just been placed.
+fn patient(books: &Books, job: &Job, now: Millis) -> bool {
+    if job.kind == Kind::Service {
+        return false;
+    }
+    let tightest = job.waits.first().copied().unwrap_or(f64::INFINITY);
+    let tightest = tightest.min(books.guarantee_s.unwrap_or(f64::INFINITY));
+    let patience = (PATIENCE * tightest).min(PATIENCE_S);
+    now < job.seen_at + millis(patience)
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub struct Victim {
     /// The job that is to have its place.
@@ -563,6 +580,12 @@
         .zip(&deserved)
         .map(|(booked, share)| (booked - share).max(0.0))
         .collect();
+    let mut beyond: Vec<f64> = books
+        .teams
+        .iter()
+        .zip(&booked)
+        .map(|(team, booked)| booked - books.units(&team.guarantee))
+        .collect();
     let mut order: Vec<usize> = (0..books.teams.len()).collect();
     order.sort_by_key(|&team| key(booked[team]));
     // Room on each machine, with what already has to stop counted as free.
@@ -600,9 +623,11 @@
                 index: job,
                 job: entry,
                 team: TeamIx(team as u32),
+                patient: patient(books, entry, now),
                 starved: units <= hope + 1e-6,
                 rooms: &mut rooms,
                 excess: &mut excess,
+                beyond: &mut beyond,
                 taken: &mut taken,
                 now,
             };
@@ -647,12 +672,16 @@
     index: JobIx,
     job: &'a Job,
     team: TeamIx,
+    /// It can still wait for work with aims to end by itself.
+    patient: bool,
     /// A further task would still be within what its team deserves and is guaranteed.
     starved: bool,
     /// Room on each machine.
     rooms: &'a mut [Amounts],
     /// What each team has beyond what it deserves.
     excess: &'a mut [f64],
+    /// What each team has beyond its guarantee.
+    beyond: &'a mut [f64],
     taken: &'a mut HashSet<(MachineIx, usize)>,
     now: Millis,
 }
@@ -684,7 +713,9 @@
                 let attempt = &self.books.machine(at).attempts[victim.at];
                 let loser = self.books.job(attempt.job);
                 self.rooms[at.at()].add(&loser.need);
-                self.excess[loser.team.at()] -= self.books.units(&loser.need);
+                let units = self.books.units(&loser.need);
+                self.excess[loser.team.at()] -= units;
+                self.beyond[loser.team.at()] -= units;
                 self.taken.insert((at, victim.at));
             }
             self.rooms[at.at()].sub(&self.job.need);
@@ -724,12 +755,22 @@
             })
             .filter_map(|(at, attempt)| {
                 let loser = books.job(attempt.job);
+                if self.patient && !loser.latest.is_empty() {
+                    return None;
+                }
                 let over = self.excess[loser.team.at()] + 1e-6 >= books.units(&loser.need);
                 // A task with an aim of its own gives way to arrays once: a guest's swarm of small tasks
                 // was stopped up to 35 times each, and ended too late.
                 let spent =
                     job.kind != Kind::Service && !loser.latest.is_empty() && attempt.attempt > 1;
-                let reason = if loser.priority > job.priority && !spent {
+                // What a team runs within its guarantee it takes back at the next check: an array of
+                // another team that took it for its priority lost it again, and both began anew each
+                // second.
+                let units = books.units(&loser.need);
+                let guaranteed = job.kind != Kind::Service
+                    && loser.team != self.team
+                    && self.beyond[loser.team.at()] + 1e-6 < units;
+                let reason = if loser.priority > job.priority && !spent && !guaranteed {
                     Reason::Priority
                 } else if self.starved && loser.team != self.team && over {
                     Reason::Share
