--- a/src/bookkeeping/scheduler.rs
+++ b/src/bookkeeping/scheduler.rs
@@ -755,7 +755,8 @@
             })
             .filter_map(|(at, attempt)| {
                 let loser = books.job(attempt.job);
-                if self.patient && !loser.latest.is_empty() {
+                // Replicas have no such times; they are the last to be taken for work without aims.
+                if self.patient && (loser.kind == Kind::Service || !loser.latest.is_empty()) {
                     return None;
                 }
                 let over = self.excess[loser.team.at()] + 1e-6 >= books.units(&loser.need);
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -5,7 +5,9 @@
 use dalelb::{
     bookkeeping::{
         autoscaler::Autoscaler,
-        books::{Amounts, Books, Machine, MachineIx, MachineState, Phase, Pull, TeamIx, TypeIx},
+        books::{
+            Amounts, Books, JobIx, Machine, MachineIx, MachineState, Phase, Pull, TeamIx, TypeIx,
+        },
         scheduler::{self, Looks, Whose},
         store,
     },
@@ -120,8 +122,17 @@
     assert_eq!(scheduler::round(&mut books, 1), 0);
     // Red deserves its 16 and half of the other 48.
     assert_eq!(scheduler::deserved(&books, 64.0), [40.0, 24.0]);
-    // Tasks end all the time: an array waits a little before work with aims has to give way.
+    // Tasks end all the time: an array waits a little before work with aims has to give way, or
+    // replicas, which have no such times.
     assert!(scheduler::preempt(&books, 1000, Whose::All).is_empty());
+    for kind in [Kind::Service, Kind::Array] {
+        let index = JobIx(0);
+        let aims = std::mem::take(&mut books.jobs[index.at()].latest);
+        books.jobs[index.at()].kind = kind;
+        let gives_way = !scheduler::preempt(&books, 1000, Whose::All).is_empty();
+        assert_eq!(gives_way, kind == Kind::Array, "without aims, {kind:?}");
+        books.jobs[index.at()].latest = aims;
+    }
     let victims = scheduler::preempt(&books, 5000, Whose::All);
     assert_eq!(victims.len(), 4, "blue gives red its guarantee, no more");
     // What was stopped waits again, and red has its turn.
