--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -1554,3 +1554,52 @@
         assert!(world.workers.iter().all(|worker| worker.session == 1));
     }
 }
+
+/// The ring of the log comes round several times while an array and a part of a large job run on: what
+/// only its oldest entries told is told again, or has pages, and a successor finds all of it.
+#[test]
+fn what_runs_on_is_known_however_long_ago_it_was_noted() {
+    for seed in [0, 4] {
+        let mut world = World::new(seed);
+        world.faults = false;
+        while world.workers.len() < 40 {
+            let zone = ["a", "b"][world.workers.len() % 2];
+            world.machine(zone, false);
+        }
+        world.run_until(5000);
+        let spec = world.long_array(1, 60);
+        world.submit(spec);
+        let mut large = world.long_array(2, 6000);
+        large.cpus = 16.0;
+        large.estimate_s = 40.0;
+        world.submit(large);
+        world.run_until(15_000);
+        let before = world.running();
+        let array = before.keys().filter(|task| task.job == JobId(1)).count();
+        assert_eq!(array, 60, "seed {seed}");
+        let written = world.writes;
+        for number in 3..=1200 {
+            let mut short = world.long_array(number, 1);
+            short.estimate_s = 0.5;
+            short.cpus = 0.1;
+            short.priority = Priority::High;
+            world.submit(short);
+            world.run_until(15_000 + (number - 2) * 90);
+        }
+        let written = world.writes - written;
+        assert!(written > 4 * 256, "{written} writes");
+        let before = world.running();
+        let before: Vec<_> = before
+            .into_iter()
+            .filter(|(task, _)| task.job.0 < 3)
+            .collect();
+        world.crash(world.leader.expect("a node leads"));
+        let crashed = world.now;
+        world.run_until(crashed + LEASE_MS);
+        let after = world.running();
+        for (task, on) in &before {
+            let done = world.completed.contains(task);
+            assert!(done || after.get(task) == Some(on), "{task}, seed {seed}");
+        }
+    }
+}
