Machine types under several keys where one is too small; the books wait for a sync after the takeover

Books were made as soon as the notes had been read, whether or not a sync had told of the latest jobs: a job accepted elsewhere just before a takeover, and placed by the predecessor, would have been taken for one that is over. Found by reading; a test shows it. Metrics for jobs that wait for others; settings of limits to come are checked.

--- a/src/bookkeeping/store.rs
+++ b/src/bookkeeping/store.rs
@@ -20,7 +20,11 @@
 use serde_json::Value;
 
 use super::books::{Books, ImageIx, JobIx, MachineIx, MachineState, Task, TaskStatus};
-use crate::protocol::{ids::JobId, job::Submission};
+use crate::protocol::{
+    cloud::{MachineType, MachineTypes},
+    ids::JobId,
+    job::Submission,
+};
 
 pub const SHARED: &str = "shared/";
 pub const LEADER: &str = "shared/leader";
@@ -164,6 +168,46 @@
     (JobRecord::Split { at_ms, parts }, texts)
 }
 
+/// The keys and values that machine types are kept under, none of them longer than `bytes` as JSON: one,
+/// as ever, where that holds them all, else several that are only read together.
+pub fn types_records(types: &[MachineType], bytes: usize) -> Vec<(String, Value)> {
+    let room = bytes.saturating_sub(VALUE_SPARE);
+    let value = |types: &[MachineType]| {
+        to_value(&MachineTypes {
+            types: types.to_vec(),
+        })
+    };
+    let whole = value(types);
+    if json_len(&whole) <= room {
+        return vec![(TYPES.into(), whole)];
+    }
+    let mut parts: Vec<Vec<MachineType>> = vec![Vec::new()];
+    let mut used = 0;
+    for kind in types {
+        let len = json_len(kind) + 1;
+        if used + len > room && used > 0 {
+            parts.push(Vec::new());
+            used = 0;
+        }
+        used += len;
+        parts.last_mut().expect("never empty").push(kind.clone());
+    }
+    let count = parts.len();
+    let parts = parts.into_iter().enumerate();
+    parts
+        .map(|(at, part)| (format!("{TYPES}/{at:05}-{count:05}"), value(&part)))
+        .collect()
+}
+
+/// Which part of how many a key of machine types is.
+pub fn parse_types_key(key: &str) -> Option<(u32, u32)> {
+    let (part, count) = key
+        .strip_prefix(TYPES)?
+        .strip_prefix('/')?
+        .split_once('-')?;
+    Some((part.parse().ok()?, count.parse().ok()?))
+}
+
 /// Puts the texts of a record's further keys together.
 pub fn joined<'a>(texts: impl Iterator<Item = &'a str>) -> Result<Submission, serde_json::Error> {
     serde_json::from_str(&texts.collect::<String>())
--- a/src/coordination/directory.rs
+++ b/src/coordination/directory.rs
@@ -18,7 +18,7 @@
         store::{self, JobRecord, LeaderRecord, TermRecord},
     },
     protocol::{
-        cloud::MachineTypes,
+        cloud::{MachineType, MachineTypes},
         ids::JobId,
         job::{JobStatus, Submission},
         state::{Event, StateError, StateReply, StateRequest, Txn, Urgency, Write},
@@ -106,6 +106,8 @@
     pub term: u64,
     pub term_version: u64,
     pub types: Option<(MachineTypes, u64)>,
+    /// Where they are kept under several keys: by the number of those, and which one it is.
+    types_parts: BTreeMap<(u32, u32), Vec<MachineType>>,
     /// Nodes that may renew workers' leases, with the version of their keys.
     pub deputies: BTreeMap<String, u64>,
 }
@@ -198,6 +200,17 @@
             *known = version.max(*known);
             return Change::Nothing;
         }
+        if let Some((part, count)) = store::parse_types_key(key) {
+            if let Ok(types) = serde_json::from_value::<MachineTypes>(value) {
+                self.types_parts.insert((count, part), types.types);
+            }
+            let parts = self.types_parts.range((count, 0)..(count, count));
+            if parts.clone().count() == count as usize {
+                let types = parts.flat_map(|(_, part)| part.clone()).collect();
+                self.types = Some((MachineTypes { types }, version));
+            }
+            return Change::Types;
+        }
         match key {
             store::LEADER => {
                 if self
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -18,7 +18,6 @@
         store::{self, LeaderRecord, TermRecord},
     },
     protocol::{
-        cloud::MachineTypes,
         ids::JobId,
         job::Kind,
         state::{Condition, StateError, StateReply, StateRequest, Txn, Urgency, Write},
@@ -669,22 +668,24 @@
             return;
         }
         leading.types_written = self.now;
-        let txn = Txn {
-            conditions: vec![leading.condition()],
-            writes: vec![Write::Put {
-                key: store::TYPES.into(),
-                value: store::to_value(&MachineTypes {
-                    types: self.types.clone(),
-                }),
-                lease: None,
-            }],
-        };
-        self.state(
-            StateTag::Types,
-            StateRequest::Txn(txn),
-            Urgency::Normal,
-            TXN_TIMEOUT,
-        );
+        let condition = leading.condition();
+        let bytes = self.config.settings.state.value_bytes();
+        for (key, value) in store::types_records(&self.types, bytes) {
+            let txn = Txn {
+                conditions: vec![condition.clone()],
+                writes: vec![Write::Put {
+                    key,
+                    value,
+                    lease: None,
+                }],
+            };
+            self.state(
+                StateTag::Types,
+                StateRequest::Txn(txn),
+                Urgency::Normal,
+                TXN_TIMEOUT,
+            );
+        }
     }
 
     /// Lets the other members know how far jobs are.
--- a/src/coordination/pipelines.rs
+++ b/src/coordination/pipelines.rs
@@ -41,7 +41,8 @@
     /// derives them by itself, but a record that says so needs no submission any more. An end is stored
     /// after or with those that it follows from.
     pub(super) fn store_ends(&mut self) {
-        let ops = self.config.settings.state.txn_ops as usize;
+        // Half of a transaction each time: a wide pipeline must not take the writes that others need.
+        let ops = (self.config.settings.state.txn_ops / 2).max(1) as usize;
         let Some(leading) = &mut self.leading else {
             return;
         };
@@ -50,7 +51,7 @@
         }
         let mut txn = Txn::only_if(leading.condition());
         for (id, job) in self.directory.doomed() {
-            if txn.writes.len() + 1 + job.parts as usize > ops {
+            if !txn.writes.is_empty() && txn.writes.len() + 1 + job.parts as usize > ops {
                 break;
             }
             job.end(id, &JobRecord::Cancelled, &mut txn);
--- a/src/coordination/status.rs
+++ b/src/coordination/status.rs
@@ -1,7 +1,10 @@
 //! What a node says of itself to whoever watches it.
 
-use super::Node;
-use crate::bookkeeping::{Millis, books::MachineState};
+use super::{Node, directory::LiveJob};
+use crate::{
+    bookkeeping::{Millis, books::MachineState},
+    protocol::ids::JobId,
+};
 
 /// A look at the owner; what only a leader knows is empty elsewhere.
 #[derive(Clone, Debug, Default)]
@@ -10,6 +13,10 @@
     pub term: u64,
     /// How long workers may still be renewed without another sync.
     pub entitlement_ms: Millis,
+    /// Unfinished jobs that wait for others, and jobs that were cancelled with one that they need and
+    /// whose records don't say so yet.
+    pub awaiting: usize,
+    pub ends_unwritten: usize,
     /// Each team's waiting tasks and booked units.
     pub teams: Vec<(String, usize, f64)>,
     /// How many machines there are in each state.
@@ -23,7 +30,10 @@
 impl Node {
     pub fn status(&mut self) -> Status {
         let until = self.renews_until().unwrap_or(0);
+        let waits = |(_, job): &(JobId, &LiveJob)| job.left > 0;
         let mut status = Status {
+            awaiting: self.directory.live().filter(waits).count(),
+            ends_unwritten: self.directory.doomed().count(),
             term: self.directory.term,
             entitlement_ms: until.saturating_sub(self.now),
             ..Status::default()
--- a/src/coordination/takeover.rs
+++ b/src/coordination/takeover.rs
@@ -344,7 +344,10 @@
 
 #[cfg(test)]
 mod tests {
+    use serde_json::json;
+
     use super::*;
+    use crate::protocol::state::{Changes, Event, Page};
 
     fn entry(seq: u64, first: u64, notes: &[TaskNote]) -> (u32, u64, LogRecord) {
         let job = JobNote {
@@ -425,4 +428,72 @@
             assert_eq!(says(order), expected);
         }
     }
+
+    /// A job that was accepted elsewhere just before the takeover, and placed by the predecessor, was not
+    /// known yet when the notes had been read: it was taken for one that is over, and what ran of it
+    /// would have been stopped for good.
+    #[test]
+    fn the_books_wait_for_a_sync_that_began_after_the_takeover() {
+        let config = serde_json::from_value(json!({
+            "label": "n0", "domain": "a", "listen": "127.0.0.1:1", "mesh_addr": "127.0.0.1:2",
+            "services": {"cloud": "127.0.0.1:3", "state": "127.0.0.1:4"},
+            "settings": {
+                "zones": ["a"], "teams": [{"name": "red"}],
+                "workers": {"report_s": 2.5, "lease_s": 14.0, "cancel_s": 34.0},
+                "state": {"rps": 100.0, "write_rps": 50.0, "value_kb": 16.0, "txn_ops": 24},
+                "cloud": {"rps": 3.0}
+            }
+        }));
+        let mut node = Node::new(config.expect("valid settings"));
+        node.now = 1000;
+        node.granted(900, Ok(StateReply::Granted(7)));
+        node.acquire_answered(7, Ok(StateReply::Committed(5)));
+        let (slot, version, record) = entry(3, 1, &[TaskNote(0, 1, Note::On(0))]);
+        let row = Row {
+            key: store::slot_key(slot),
+            value: store::to_value(&record),
+            version,
+        };
+        let notes = Page {
+            rows: vec![row],
+            more: false,
+            revision: 9,
+        };
+        node.books_read(7, Ok(StateReply::Page(notes)));
+        let synced = |node: &mut Node, sent_at, events| {
+            let changes = Changes {
+                revision: 9,
+                events,
+            };
+            node.synced(0, sent_at, Ok(StateReply::Changes(changes)));
+        };
+        // One that was under way already.
+        synced(&mut node, 990, Vec::new());
+        let made = |node: &Node| node.leading.as_ref().is_some_and(|l| l.books.is_some());
+        assert!(!made(&node));
+        let spec: Submission = serde_json::from_value(json!({
+            "id": "j-000001", "lane": "any", "crew": "red", "shape": "array",
+            "urgency": "standard", "pieces": 4, "cpus": 1.0, "gpus": 0.0, "ram_gb": 1.0,
+            "together": false, "apart": false, "loaners": true, "kit": "img", "size_gb": 0.1,
+            "guess_s": 10.0, "bookmark_s": 0.0, "stash_s": 0.0
+        }))
+        .expect("a submission");
+        let (record, _) = store::live_record(1, &spec, 16 * 1024);
+        let accepted = Event::Put {
+            key: store::job_key(JobId(1)),
+            value: store::to_value(&record),
+            version: 4,
+        };
+        synced(&mut node, 1010, vec![accepted]);
+        assert!(made(&node));
+        let books = node.leading.as_ref().and_then(|l| l.books.as_ref());
+        let books = books.expect("they are made");
+        let job = books.job(books.job_index[&JobId(1)]);
+        assert!(!job.closed);
+        assert_eq!(
+            (job.waiting.len(), books.machines[0].attempts.len()),
+            (3, 1)
+        );
+        assert!(books.machines[0].attempts[0].stop.is_none());
+    }
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -54,6 +54,8 @@
     booked: Family<Team, Amount>,
     machines: Family<State, Count>,
     unwritten: Count,
+    awaiting: Count,
+    ends_unwritten: Count,
     start_waits: Histogram,
 }
 
@@ -75,6 +77,8 @@
             booked: Family::default(),
             machines: Family::default(),
             unwritten: Count::default(),
+            awaiting: Count::default(),
+            ends_unwritten: Count::default(),
             start_waits: Histogram::new(waits),
         };
         metrics.register();
@@ -117,6 +121,16 @@
             "Tasks whose last change is not in the state service yet",
             self.unwritten.clone(),
         );
+        all.register(
+            "jobs_awaiting",
+            "Unfinished jobs that wait for others",
+            self.awaiting.clone(),
+        );
+        all.register(
+            "ends_unwritten",
+            "Jobs cancelled with one that they need whose records do not say so yet",
+            self.ends_unwritten.clone(),
+        );
         all.register_with_unit(
             "start_wait",
             "From a job's arrival to the start of each of its tasks",
@@ -155,6 +169,8 @@
         self.term.set(status.term as i64);
         self.entitlement.set(status.entitlement_ms as f64 / 1000.0);
         self.unwritten.set(status.unwritten as i64);
+        self.awaiting.set(status.awaiting as i64);
+        self.ends_unwritten.set(status.ends_unwritten as i64);
         // A node that leads no more has nothing to tell of these.
         self.waiting.clear();
         self.booked.clear();
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -34,6 +34,21 @@
     fs::remove_file(path).unwrap();
 }
 
+#[test]
+fn limits_to_come_are_optional_and_so_is_each_of_them() {
+    for (name, next) in [
+        ("null", "null"),
+        ("some", "{\"value_kb\":2.0}"),
+        ("none", "{}"),
+    ] {
+        let text = GOOD.replace("24}", &format!("24,\"next\":{next}}}"));
+        let path = settings(name, &text);
+        let output = dalelb(&["check", "--config", path.to_str().unwrap()]);
+        assert!(output.status.success(), "{next}");
+        fs::remove_file(path).unwrap();
+    }
+}
+
 #[test]
 fn a_bad_start_says_why_in_one_line_and_ends_with_2() {
     let bad = [
@@ -45,6 +60,11 @@
         ("text", "not json".to_owned(), "expected"),
         ("lease", GOOD.replace("14.0", "-1.0"), "workers.lease_s"),
         ("missing", GOOD.replace("\"rps\":100.0,", ""), "rps"),
+        (
+            "next",
+            GOOD.replace("24}", "24,\"next\":{\"value_kb\":1.5,\"txn_ops\":8}}"),
+            "settings.state.next.value_kb",
+        ),
     ];
     for (name, text, reason) in bad {
         let path = settings(name, &text);
--- a/tests/formats.rs
+++ b/tests/formats.rs
@@ -4,6 +4,7 @@
     bookkeeping::store,
     protocol::{
         self, DecodeError,
+        cloud::{MachineType, MachineTypes},
         ids::{JobId, TaskId},
         job::{JobStatus, JobView, Kind, Priority, Submission},
         worker::{Order, Report},
@@ -231,6 +232,38 @@
     });
 }
 
+/// Machine types that one value can't hold are kept under several keys, and none is left out.
+#[test]
+fn machine_types_fit_their_values() {
+    let kind = |number: usize| MachineType {
+        name: format!("kind-{number:0>40}"),
+        cpus: 16.0,
+        gpus: 0.0,
+        ram_gb: 64.0,
+        cache_gb: 10.0,
+        fetch_gb_per_s: 0.5,
+        price: 1.0,
+        spot_price: Some(0.25),
+        boot_s: 15.0,
+        zones: vec!["a".into(), "b".into()],
+    };
+    for count in [1, 2, 7, 8, 60] {
+        let types: Vec<MachineType> = (0..count).map(kind).collect();
+        let records = store::types_records(&types, 2048);
+        let mut read = Vec::new();
+        for (at, (key, value)) in records.iter().enumerate() {
+            assert!(value.to_string().len() <= 2048, "{key}");
+            let part = store::parse_types_key(key);
+            let whole = (records.len() == 1).then_some(store::TYPES);
+            assert_eq!(whole, part.is_none().then_some(key.as_str()));
+            assert!(part.is_none_or(|part| part == (at as u32, records.len() as u32)));
+            let types: MachineTypes = serde_json::from_value(value.clone()).unwrap();
+            read.extend(types.types);
+        }
+        assert_eq!(read, types);
+    }
+}
+
 /// The formats of the version before jobs could await others, as far as it reads them: the two run side
 /// by side while an upgrade lasts.
 mod before {
