--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -383,32 +383,12 @@
             return;
         };
         let mut pulled = vec![id];
+        let mut released = false;
         match self.directory.get(id) {
             Some(Entry::Live(job)) => {
                 pulled.extend(&job.spec.awaits);
                 // It is entered once all that it needs is done, and weighs nothing before.
-                if job.left == 0 && !books.job_index.contains_key(&id) {
-                    let released = !job.spec.awaits.is_empty();
-                    let times = (job.at_ms, job.released_ms);
-                    match books.add_released(&job.spec, times, self.now) {
-                        Some(index) => {
-                            if let Some(pull) = leading.pulls.get(&id) {
-                                books.pull(index, pull, self.now);
-                            }
-                            let job = books.job(index);
-                            if job.kind == Kind::Service {
-                                let (need, tasks) = (job.need, job.tasks.len());
-                                let scaler = &mut leading.renting.autoscaler;
-                                scaler.arrived(need, tasks, self.now);
-                            }
-                            if released {
-                                let turn_ms = job.turn_ms.saturating_sub(self.wall);
-                                tracing::info!(job = %id, priority = ?job.priority, turn_ms, "released");
-                            }
-                        }
-                        None => tracing::error!(job = %id, "no such team"),
-                    }
-                }
+                released = job.left == 0 && !books.job_index.contains_key(&id);
             }
             Some(Entry::Final(..)) => {
                 leading.pulls.remove(&id);
@@ -425,9 +405,42 @@
             }
             None => {}
         }
+        if released {
+            self.release(id);
+        }
         self.pull(pulled);
     }
 
+    /// Enters a job for which no other has to be waited.
+    fn release(&mut self, id: JobId) {
+        let (now, wall) = (self.now, self.wall);
+        let Some(live) = self.directory.live_job(id) else {
+            return;
+        };
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let Some(books) = &mut leading.books else {
+            return;
+        };
+        let times = (live.at_ms, live.released_ms);
+        let Some(index) = books.add_released(&live.spec, times, now) else {
+            return tracing::error!(job = %id, "no such team");
+        };
+        if let Some(pull) = leading.pulls.get(&id) {
+            books.pull(index, pull, now);
+        }
+        let job = books.job(index);
+        if job.kind == Kind::Service {
+            let (need, tasks) = (job.need, job.tasks.len());
+            leading.renting.autoscaler.arrived(need, tasks, now);
+        }
+        if !live.spec.awaits.is_empty() {
+            let turn_ms = job.turn_ms.saturating_sub(wall);
+            tracing::info!(job = %id, priority = ?job.priority, turn_ms, "released");
+        }
+    }
+
     /// The leader's turn: renews, schedules, writes, sends.
     pub(super) fn lead(&mut self) {
         let Some(leading) = &mut self.leading else {
