--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -381,8 +381,12 @@
 }
 
 fn job(id: &str, shape: &str, team: &str) -> Vec<u8> {
+    stage(id, shape, team, &[])
+}
+
+fn stage(id: &str, shape: &str, team: &str, awaits: &[&str]) -> Vec<u8> {
     protocol::encode(
-        &json!({"id": id, "lane": "any", "crew": team, "shape": shape,
+        &json!({"id": id, "awaits": awaits, "lane": "any", "crew": team, "shape": shape,
         "urgency": "high", "pieces": 5, "cpus": 1.0, "gpus": 0.0, "ram_gb": 1.0, "kit": "img",
         "size_gb": 0.1, "together": false, "apart": false, "loaners": false, "guess_s": 1.0,
         "bookmark_s": 0.0, "stash_s": 0.0}),
@@ -483,6 +487,49 @@
     })
     .await;
 
+    // Jobs in turn; a cancellation reaches those after it, also one that comes later.
+    for (id, awaits) in [
+        ("j-000010", &["j-000001"][..]),
+        ("j-000011", &["j-000010", "j-000001"]),
+        ("j-000012", &["j-000011"]),
+    ] {
+        until("a stage accepted", || {
+            submit(1, stage(id, "array", "red", awaits), 201)
+        })
+        .await;
+    }
+    until("the last stage is done", || {
+        ended(0, "j-000012", JobStatus::Done)
+    })
+    .await;
+    for unknown in ["j-000999", "j-000013"] {
+        until("refused for what it awaits", || {
+            submit(0, stage("j-000013", "array", "red", &[unknown]), 422)
+        })
+        .await;
+    }
+    until("a service accepted", || {
+        submit(0, job("j-000014", "standing", "red"), 201)
+    })
+    .await;
+    until("refused for a service", || {
+        submit(1, stage("j-000015", "array", "red", &["j-000014"]), 422)
+    })
+    .await;
+    let cancel = |id: &'static str| {
+        let path = format!("/v2/runs/{id}/abort");
+        let answer = call(Method::POST, 1, path, Vec::new());
+        async move { answer.await.filter(|(status, _)| *status == 200) }
+    };
+    until("the service cancelled", || cancel("j-000014")).await;
+    for (id, awaits) in [("j-000015", "j-000014"), ("j-000016", "j-000015")] {
+        until("one after a cancelled one accepted", || {
+            submit(1, stage(id, "array", "red", &[awaits]), 201)
+        })
+        .await;
+        until("cancelled with it", || ended(0, id, JobStatus::Cancelled)).await;
+    }
+
     // What the leader tells its operators: it leads, tasks have started, nobody is short of time.
     until("metrics", || {
         let answer = call(Method::GET, 0, "/metrics".into(), Vec::new());
