--- a/src/coordination/notes.rs
+++ b/src/coordination/notes.rs
@@ -43,6 +43,8 @@
 /// Tasks that one write tells of at the most, and how many of those once more.
 const AT_ONCE: usize = 2000;
 const AGAIN: usize = 100;
+/// Entries that are looked at for that.
+const OLDEST: usize = 32;
 /// Entries from which on pages are written for whatever the oldest tell.
 const FULL: usize = LONG * 7 / 4;
 /// Least time between two writes of pages, while there is room in the ring.
@@ -232,7 +234,7 @@
         }
         let held = held(books);
         self.forget(books, &held);
-        for entry in &self.live {
+        for entry in self.live.iter().take(OLDEST) {
             if again.len() >= AGAIN {
                 break;
             }
