What the state service refuses for its size is written again in smaller pieces

Limits lower than the settings name, now or next: a refused transaction was tried again as it was, and the log behind it stood still. Each refusal with 400 now halves what is written at once, down to 0.5 KiB and four operations. An eighth of the histories has limits that fall without anybody having been told.

--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -31,6 +31,9 @@
 pub(super) const TXN_TIMEOUT: Millis = 2000;
 /// What steady clocks may drift apart, doubled.
 pub const DRIFT: f64 = 0.001;
+/// However often the state service refuses a write for its size, so much is written at once.
+const LEAST_KB: f64 = 0.5;
+const LEAST_OPS: u32 = 4;
 const CAMPAIGN_RETRY: Millis = 300;
 const FENCE_EVERY: Millis = 3000;
 const TELL: Millis = 1000;
@@ -603,10 +606,28 @@
                 Some(Fate::Doubtful)
             }
             Err(StateError::NoAnswer) => Some(Fate::Doubtful),
+            Err(StateError::Refused(400)) => {
+                self.narrow();
+                Some(Fate::Refused)
+            }
             _ => Some(Fate::Refused),
         }
     }
 
+    /// The state service takes less at once than the settings say, now or next: what it refused is
+    /// written again in smaller pieces, never as it was, so that nothing behind it is held up.
+    pub(super) fn narrow(&mut self) {
+        let state = &mut self.config.settings.state;
+        state.value_kb = (state.value_kb / 2.0).max(LEAST_KB);
+        state.txn_ops = (state.txn_ops / 2).max(LEAST_OPS);
+        let (value_kb, txn_ops) = (state.value_kb, state.txn_ops);
+        tracing::warn!(
+            value_kb,
+            txn_ops,
+            "refused for its size, less at once from now on"
+        );
+    }
+
     pub(super) fn fence_answered(&mut self, lease: u64, result: Result<StateReply, StateError>) {
         let Some(fate) = self.fate(lease, result) else {
             return;
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -278,6 +278,10 @@
                     CHECK_TIMEOUT,
                 );
             }
+            Err(StateError::Refused(400)) => {
+                self.narrow();
+                self.refuse(id);
+            }
             _ => self.refuse(id),
         }
     }
--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -202,6 +202,10 @@
     upgrades: [u64; NODES],
     /// When the limits fall to these.
     falls: (u64, Limits),
+    /// The settings don't say so: what is too large is refused.
+    untold: bool,
+    /// Writes refused for that.
+    too_large: usize,
     /// Relayed requests that a member answered well.
     relayed: usize,
     /// Over all that the nodes sent, in order.
@@ -246,6 +250,8 @@
             released: 0,
             upgrades: [0; NODES],
             falls: (u64::MAX, limits(seed)),
+            untold: false,
+            too_large: 0,
             relayed: 0,
             trace: DefaultHasher::new(),
             late_orders: [0.0, 0.1, 0.4][(seed / 3) as usize % 3],
@@ -259,6 +265,11 @@
             world.upgrades = [20_000, 45_000, 70_000];
             world.falls.0 = 80_000;
         }
+        // And now and then nobody was told of it.
+        if seed % 8 == 7 {
+            world.upgrades = [u64::MAX; NODES];
+            world.untold = true;
+        }
         for index in 0..4 {
             world.machine(["a", "b"][index % 2], index == 3);
         }
@@ -1089,6 +1100,19 @@
                         },
                     );
                 }
+                if self.untold
+                    && let StateRequest::Txn(txn) = &request
+                    && !self.store.limits.hold(txn)
+                {
+                    self.too_large += 1;
+                    let result = Err(StateError::Refused(400));
+                    let command = Command::State {
+                        tag,
+                        sent_at,
+                        result,
+                    };
+                    return self.reply(index, life, ticket, command);
+                }
                 // Now and then it is too much for the store, or its log does not go back so far.
                 let refused = self.faults && self.rng.random_bool(0.01);
                 let too_old = matches!(request, StateRequest::Changes { .. });
@@ -1339,8 +1363,8 @@
 }
 
 /// What happened in a history: relayed requests that were answered, leaders that stood still, and that
-/// resigned, starts of tasks that had to wait for other jobs, records under several keys.
-type Seen = [usize; 5];
+/// resigned, starts of tasks that had to wait for other jobs, records under several keys, writes refused for their size.
+type Seen = [usize; 6];
 
 /// Plays a history; what happened, and what all that was sent hashes to.
 fn play(seed: u64) -> (Seen, u64) {
@@ -1419,6 +1443,7 @@
         world.resigned,
         world.released,
         split.count(),
+        world.too_large,
     ];
     (seen, world.trace.finish())
 }
@@ -1441,7 +1466,7 @@
     let first = number("FIRST").unwrap_or(0);
     let seeds: Vec<u64> = (first..number("HISTORIES").unwrap_or(64)).collect();
     let at_once = std::thread::available_parallelism().map_or(1, |n| n.get());
-    let (mut seen, mut broken) = ([0; 5], Vec::new());
+    let (mut seen, mut broken) = ([0; 6], Vec::new());
     for seeds in seeds.chunks(at_once) {
         std::thread::scope(|scope| {
             // A panic tells its thread's name, so the seed.
@@ -1456,14 +1481,15 @@
                 .collect();
             for (seed, played) in seeds.iter().zip(played) {
                 match played.join() {
-                    Ok(counts) => (0..5).for_each(|each| seen[each] += counts[each]),
+                    Ok(counts) => (0..6).for_each(|each| seen[each] += counts[each]),
                     Err(_) => broken.push(*seed),
                 }
             }
         });
     }
     assert!(broken.is_empty(), "broken with seeds {broken:?}");
-    let [relayed, frozen, resigned, released, split] = seen;
+    let [relayed, frozen, resigned, released, split, too_large] = seen;
+    assert!(too_large > 0, "nothing was refused for its size");
     assert!(released > 0, "no job that awaited others ran");
     assert!(split > 0, "no record took several keys");
     assert!(relayed > 0, "no request reached a member in a node's place");
