--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -1630,3 +1630,23 @@
         }
     }
 }
+
+/// The limits fall without anybody having been told, and a burst follows: entries that are refused for
+/// their size are written in smaller pieces, and all of it starts.
+#[test]
+fn the_log_goes_on_under_limits_that_nobody_told_of() {
+    let mut world = World::new(0);
+    world.faults = false;
+    world.untold = true;
+    world.falls = (20_000, limits(1));
+    while world.workers.len() < 100 {
+        let zone = ["a", "b"][world.workers.len() % 2];
+        world.machine(zone, false);
+    }
+    world.run_until(21_000);
+    let spec = world.long_array(1, 300);
+    world.submit(spec);
+    world.run_until(40_000);
+    assert!(world.too_large > 0, "nothing was refused for its size");
+    assert_eq!(world.running().len(), 300);
+}
