--- a/src/bookkeeping/scheduler.rs
+++ b/src/bookkeeping/scheduler.rs
@@ -12,15 +12,21 @@
 
 use super::{
     Millis,
-    books::{Amounts, Attempt, Books, Job, JobIx, Machine, MachineIx, Phase, QueueKey, TeamIx},
+    books::{
+        Amounts, Attempt, Books, ESTIMATE_MARGIN, Job, JobIx, Machine, MachineIx, Phase, QueueKey,
+        TeamIx,
+    },
     millis,
 };
 use crate::protocol::job::{Kind, Priority};
 
 /// Seconds of an array task's work that a second of a replica's wait is worth.
 const WORK_FOR_WAIT: f64 = 12.0;
-/// Seconds of an array task's work that an aim is worth which the task is in time for.
+/// Seconds of an array task's work that an aim for its start is worth which the task is in time for.
 const SPOILED_S: f64 = 30.0;
+/// The same for an aim for its end: an array is done with its last task. At 30 s most arrays that ended late had
+/// lost a task that had run for a minute or more to a replica that would have fetched its image otherwise.
+const SPOILED_END_S: f64 = 120.0;
 /// The part of the time that an array can wait, and how long at the most, before others give way for it.
 const PATIENCE: f64 = 0.25;
 const PATIENCE_S: f64 = 4.0;
@@ -245,6 +251,11 @@
         match target {
             Some((task, machine, victims)) => {
                 for at in victims {
+                    let attempt = &books.machine(machine).attempts[at];
+                    let (loser, to) = (books.job(attempt.job), books.job(job).id);
+                    let task = loser.task_id(attempt.task);
+                    let ran_s = ran_s(attempt, now) as u64;
+                    tracing::info!(%task, %to, reason = "Image", ran_s, "gives way");
                     books.stop(machine, at, 0.0);
                 }
                 books.place(job, task, machine, now);
@@ -387,7 +398,7 @@
     } else {
         ran
     };
-    lost + SPOILED_S * spoiled(books, attempt, now) as f64
+    lost + spoiled_s(books, attempt, now)
 }
 
 /// How long the attempt has run.
@@ -396,25 +407,31 @@
     ran.map_or(0.0, |ran| ran as f64 / 1000.0)
 }
 
-/// How many aims the attempt is in time for and another one, begun now, would not be. A start that is
-/// undone this soon was none for the user.
-fn spoiled(books: &Books, attempt: &Attempt, now: Millis) -> usize {
+/// What the aims are worth that the attempt is in time for and another one, begun now, would not be. A start
+/// that is undone this soon was none for the user.
+fn spoiled_s(books: &Books, attempt: &Attempt, now: Millis) -> f64 {
     const FRESH_S: f64 = 30.0;
     let job = books.job(attempt.job);
     let since = |at: Millis| at.saturating_sub(job.seen_at) as f64 / 1000.0;
-    let (placed, again) = (since(attempt.placed_at), since(now));
-    let spoils = |wait: &&f64| placed <= **wait && again > **wait;
+    let (placed, again, ran) = (since(attempt.placed_at), since(now), ran_s(attempt, now));
     let starts = &books.aims[job.class.at()].start_s;
-    let starts = if ran_s(attempt, now) < FRESH_S {
-        &starts[..]
+    let starts = if ran < FRESH_S { &starts[..] } else { &[] };
+    let starts = starts
+        .iter()
+        .filter(|wait| placed <= **wait && again > **wait);
+    // It takes as long as was estimated, or as it has run, if that is longer. Of work that is saved another
+    // attempt needs the rest only.
+    let usual = job.estimate_s * ESTIMATE_MARGIN;
+    let over = if job.checkpoint_s > 0.0 {
+        0.0
     } else {
-        &[]
+        (ran - usual).max(0.0)
     };
-    starts
+    let ends = job
+        .waits_to_end
         .iter()
-        .chain(&job.waits_to_end)
-        .filter(spoils)
-        .count()
+        .filter(|wait| placed <= **wait && again < **wait + usual && again + over > **wait);
+    SPOILED_S * starts.count() as f64 + SPOILED_END_S * ends.count() as f64
 }
 
 /// How long the job's image takes to get there.
@@ -663,7 +680,7 @@
     } else {
         ran_s(attempt, now)
     };
-    lost + SPOILED_S * spoiled(books, attempt, now) as f64
+    lost + spoiled_s(books, attempt, now)
 }
 
 /// The trial fit of one job's tasks.
