As sockets run out, idle connections are closed before anybody is refused

Need: at one and a half times the machines a node had all of its 3,642 sockets open, and what gave way first was whoever came next. Change: connections to workers are kept for the next order only while few were called lately; users' connections are closed after a poll once an eighth of the door's places is left; both are counted in dalelb_shed_total and told in the log. Reports less often than every 7.5 s keep theirs.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -42,10 +42,11 @@
 const STATE_SHARE: f64 = 0.5;
 const WRITE_SHARE: f64 = 0.6;
 const CLOUD_SHARE: f64 = 0.8;
-/// Parts of the sockets: for whoever asks this node, and for calls to workers under way. Idle
-/// connections to workers and the mesh live on the rest.
+/// Parts of the sockets: for whoever asks this node, for calls to workers under way, and for connections
+/// to workers between them. The services, the mesh and what is just being closed live on the rest.
 const DOOR_SHARE: f64 = 0.65;
 const WORKERS_SHARE: f64 = 0.2;
+const KEPT_SHARE: f64 = 0.1;
 
 #[derive(Debug, thiserror::Error)]
 pub enum DaemonError {
@@ -83,7 +84,9 @@
     let connections = (sockets * DOOR_SHARE) as usize;
     let relayed = door.clone();
     let metrics = Arc::new(Metrics::default());
-    tokio::spawn(server::serve(listener, door, connections, metrics.clone()));
+    let report = Duration::from_secs_f64(config.settings.workers.report_s.min(600.0));
+    let serving = server::serve(listener, door, connections, report, metrics.clone());
+    tokio::spawn(serving);
     let mesh_addr = config.mesh_addr;
     let to_owner = commands.clone();
     tokio::spawn(async move {
@@ -227,10 +230,14 @@
         Io {
             began: Instant::now(),
             owner,
+            workers: WorkerClient::new(
+                (sockets * WORKERS_SHARE).max(1.0) as usize,
+                (sockets * KEPT_SHARE) as usize,
+                metrics.clone(),
+            ),
             metrics,
             state: StateClient::new(config.services.state),
             cloud: CloudClient::new(config.services.cloud),
-            workers: WorkerClient::new((sockets * WORKERS_SHARE).max(1.0) as usize),
             members: mesh::Members::new(addrs.values().copied()),
             addrs,
             requests: Bucket::new(limits.part(limits.rps, STATE_SHARE, false)),
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -38,6 +38,22 @@
     state: &'static str,
 }
 
+/// What is shed as sockets run out.
+#[derive(Clone, Copy, Debug)]
+pub enum Shed {
+    /// Connections to workers that were kept open for the next orders.
+    Workers,
+    /// Users' connections, after a poll.
+    Polls,
+    /// Connections from outside, at once.
+    Refused,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct What {
+    what: &'static str,
+}
+
 type Amount = Gauge<f64, AtomicU64>;
 type Count = Gauge<i64, AtomicI64>;
 
@@ -45,6 +61,7 @@
 pub struct Metrics {
     registry: Registry,
     errors: Family<Call, Counter>,
+    shed: Family<What, Counter>,
     passes: Histogram,
     queue: Count,
     leading: Count,
@@ -68,6 +85,7 @@
         let mut metrics = Metrics {
             registry: Registry::with_prefix("dalelb"),
             errors: Family::default(),
+            shed: Family::default(),
             passes: Histogram::new(passes),
             queue: Count::default(),
             leading: Count::default(),
@@ -90,6 +108,11 @@
     fn register(&mut self) {
         let all = &mut self.registry;
         all.register("errors", "Calls that failed", self.errors.clone());
+        all.register(
+            "shed",
+            "Connections closed or refused as sockets ran out",
+            self.shed.clone(),
+        );
         all.register_with_unit(
             "pass",
             "The owner's passes over a batch of commands, rounds included",
@@ -157,6 +180,15 @@
         self.errors.get_or_create(&Call { service, error }).inc();
     }
 
+    pub fn shed(&self, shed: Shed) {
+        let what = match shed {
+            Shed::Workers => "workers",
+            Shed::Polls => "polls",
+            Shed::Refused => "refused",
+        };
+        self.shed.get_or_create(&What { what }).inc();
+    }
+
     /// The owner took `time` for a batch.
     pub fn passed(&self, time: Duration) {
         self.passes.observe(time.as_secs_f64());
--- a/src/transport/client.rs
+++ b/src/transport/client.rs
@@ -1,9 +1,9 @@
 //! Pooled HTTP clients for the state service, the cloud and the workers.
 
-use std::{cell::RefCell, net::SocketAddrV4, time::Duration};
+use std::{cell::RefCell, net::SocketAddrV4, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http::{Method, Request};
+use http::{HeaderValue, Method, Request, header::CONNECTION};
 use http_body_util::{BodyExt, Full};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
@@ -12,14 +12,18 @@
 use serde::de::DeserializeOwned;
 use tokio::sync::Semaphore;
 
-use crate::protocol::{
-    self,
-    cloud::{CloudError, CloudReply, CloudRequest, MachineNames},
-    state::{
-        Changes, Committed, Conflict, Lease, LeaseRequest, Page, Row, StateError, StateReply,
-        StateRequest,
+use super::sockets::Lately;
+use crate::{
+    metrics::{Metrics, Shed},
+    protocol::{
+        self,
+        cloud::{CloudError, CloudReply, CloudRequest, MachineNames},
+        state::{
+            Changes, Committed, Conflict, Lease, LeaseRequest, Page, Row, StateError, StateReply,
+            StateRequest,
+        },
+        worker::{DirectOrders, WorkerReply},
     },
-    worker::{DirectOrders, WorkerReply},
 };
 
 /// An answer: the status and the body.
@@ -28,7 +32,7 @@
 const IDLE: Duration = Duration::from_secs(30);
 /// Orders to a worker come in bursts. There are hundreds of workers, and sockets and memory for a
 /// connection to each besides its own to us are better kept for those who ask.
-const IDLE_WORKER: Duration = Duration::from_secs(4);
+const IDLE_WORKER: Duration = Duration::from_secs(Lately::SECONDS as u64);
 
 /// One pool of connections. A request that gets no answer leaves the pool to be thrown away:
 /// behind a cut, its idle connections are as dead as the one that was used.
@@ -61,21 +65,26 @@
             .build(connector)
     }
 
-    /// Status and body; `None`: no answer.
+    /// Status and body; `None`: no answer. `keep`: the connection may be wanted again.
     pub async fn call(
         &self,
         method: Method,
         addr: &str,
         path: &str,
         body: Vec<u8>,
+        keep: bool,
         timeout: Duration,
     ) -> Option<Answer> {
-        let request = Request::builder()
+        let mut request = Request::builder()
             .method(method)
             .uri(format!("http://{addr}{path}"))
             .header("content-type", "application/msgpack")
             .body(Full::new(Bytes::from(body)))
             .ok()?;
+        if !keep {
+            let close = HeaderValue::from_static("close");
+            request.headers_mut().insert(CONNECTION, close);
+        }
         let client = self.client.borrow().clone();
         let exchange = async {
             let response = client.request(request).await.ok()?;
@@ -182,7 +191,7 @@
             _ => &self.http,
         };
         let (status, body) = pool
-            .call(method, &self.addr, &path, body, timeout)
+            .call(method, &self.addr, &path, body, true, timeout)
             .await
             .ok_or(StateError::NoAnswer)?;
         let reply = match (request, status) {
@@ -259,7 +268,7 @@
         };
         let (status, body) = self
             .http
-            .call(method, &self.addr, &path, body, timeout)
+            .call(method, &self.addr, &path, body, true, timeout)
             .await
             .ok_or(CloudError::NoAnswer)?;
         let reply = match (request, status) {
@@ -286,14 +295,21 @@
 pub struct WorkerClient {
     http: Http,
     places: Semaphore,
+    /// How many connections may be kept for the next orders, and how many calls there were lately.
+    kept: usize,
+    lately: RefCell<Lately>,
+    metrics: Arc<Metrics>,
 }
 
 impl WorkerClient {
-    /// At most `calls` calls are under way.
-    pub fn new(calls: usize) -> Self {
+    /// At most `calls` calls are under way, and about `kept` connections are kept for the next ones.
+    pub fn new(calls: usize, kept: usize, metrics: Arc<Metrics>) -> Self {
         WorkerClient {
             http: Http::new(1, IDLE_WORKER, false),
             places: Semaphore::new(calls),
+            kept,
+            lately: RefCell::new(Lately::new()),
+            metrics,
         }
     }
 
@@ -310,7 +326,12 @@
         };
         // Never closed.
         let place = self.places.acquire().await.ok()?;
-        let answer = self.http.call(method, addr, path, body, timeout).await;
+        let keep = self.lately.borrow_mut().count() <= self.kept;
+        if !keep {
+            self.metrics.shed(Shed::Workers);
+        }
+        let answer = self.http.call(method, addr, path, body, keep, timeout);
+        let answer = answer.await;
         drop(place);
         let (status, body) = answer?;
         match status {
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -4,3 +4,4 @@
 pub mod limiter;
 pub mod mesh;
 pub mod server;
+mod sockets;
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -11,10 +11,11 @@
 };
 use tokio::{
     net::TcpListener,
-    sync::{Semaphore, mpsc, oneshot},
+    sync::{mpsc, oneshot},
 };
 use warp::{Filter, Rejection};
 
+use super::sockets;
 use crate::{
     coordination::{Answer, Ask},
     metrics::{self, Metrics},
@@ -75,6 +76,21 @@
     }
 }
 
+async fn poll(
+    door: Door,
+    sockets: Arc<sockets::Door>,
+    id: String,
+) -> Result<Response<Bytes>, Infallible> {
+    let mut response = about(door, id, Ask::Poll).await?;
+    if sockets.sheds_polls() {
+        let close = http::HeaderValue::from_static("close");
+        response
+            .headers_mut()
+            .insert(http::header::CONNECTION, close);
+    }
+    Ok(response)
+}
+
 async fn check_in(door: Door, body: Bytes) -> Result<Response<Bytes>, Infallible> {
     match protocol::decode::<Report>(&body) {
         Ok(report) => ask(door, Ask::CheckIn(Box::new(report))).await,
@@ -102,12 +118,22 @@
     Ok(plain(StatusCode::NOT_FOUND))
 }
 
-/// A client that asks nothing for this long has left: workers report and users poll every few
-/// seconds. Behind a cut no end of a connection is ever heard of, and sockets are few.
+/// A client that asks nothing for this long has left: users poll every 5 s. Workers that report less often
+/// are waited for longer. Behind a cut no end of a connection is ever heard of, and sockets are few.
 const IDLE: Duration = Duration::from_secs(15);
 
-/// Serves requests until the process ends, over at most `connections` connections.
-pub async fn serve(listener: TcpListener, door: Door, connections: usize, metrics: Arc<Metrics>) {
+/// Serves requests until the process ends, over at most `connections` connections. Workers report every
+/// `report`, give or take a quarter.
+pub async fn serve(
+    listener: TcpListener,
+    door: Door,
+    connections: usize,
+    report: Duration,
+    metrics: Arc<Metrics>,
+) {
+    let idle = IDLE.max(report * 2);
+    let sockets = Arc::new(sockets::Door::new(connections, metrics.clone()));
+    let shedding = sockets.clone();
     let with_door = warp::any().map(move || door.clone());
     let body = || warp::body::content_length_limit(MAX_BODY).and(warp::body::bytes());
     let submit = with_door
@@ -120,7 +146,7 @@
         .clone()
         .and(warp::path!("v2" / "runs" / String))
         .and(warp::get())
-        .and_then(|door, id| about(door, id, Ask::Poll));
+        .and_then(move |door, id| poll(door, shedding.clone(), id));
     let cancel = with_door
         .clone()
         .and(warp::path!("v2" / "runs" / String / "abort"))
@@ -153,8 +179,7 @@
         .recover(unroutable);
     let service = TowerToHyperService::new(warp::service(routes));
     let mut http = http1::Builder::new();
-    http.timer(TokioTimer::new()).header_read_timeout(IDLE);
-    let places = Arc::new(Semaphore::new(connections));
+    http.timer(TokioTimer::new()).header_read_timeout(idle);
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -165,8 +190,7 @@
             }
         };
         // Refused at once: the load balancer and the workers try another node.
-        let Ok(place) = places.clone().try_acquire_owned() else {
-            tracing::debug!("too many connections");
+        let Some(place) = sockets.enter() else {
             continue;
         };
         let _ = stream.set_nodelay(true);
--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -310,7 +310,7 @@
             let to = nodes[at].1.to_string();
             let second = Duration::from_secs(1);
             match http
-                .call(Method::POST, &to, "/checkin", report, second)
+                .call(Method::POST, &to, "/checkin", report, true, second)
                 .await
             {
                 Some((200, body)) => {
@@ -415,7 +415,7 @@
     let call = |method: Method, to: usize, path: String, body: Vec<u8>| {
         let (http, addr) = (http.clone(), addrs[to].to_string());
         async move {
-            http.call(method, &addr, &path, body, Duration::from_secs(5))
+            http.call(method, &addr, &path, body, true, Duration::from_secs(5))
                 .await
         }
     };
