--- a/src/coordination/deputy.rs
+++ b/src/coordination/deputy.rs
@@ -431,6 +431,44 @@
         assert!(renews(&mut node));
     }
 
+    /// Either alone would do harm: with a key but no news, a cancelled task is kept alive for longer than it
+    /// may be; with news but no key, the leader takes the machine for gone.
+    #[test]
+    fn workers_are_renewed_only_with_news_and_a_key() {
+        let mut node = deputy(START);
+        let (allowance, life) = (node.times.allowance, node.times.deputy_life);
+        for (synced, held, expected) in [
+            (allowance - 1, 0, true),
+            (allowance, 0, false),
+            (0, life - EARLY - 1, true),
+            (0, life - EARLY, false),
+        ] {
+            node.sync.ok = Some(START - synced);
+            node.deputy.ok = START - held;
+            assert_eq!(renews(&mut node), expected, "{synced} and {held} ms ago");
+        }
+    }
+
+    /// A process that had this label before may have renewed a machine until this one began.
+    #[test]
+    fn a_new_process_does_not_vouch_for_the_one_before() {
+        let mut node = deputy(3000);
+        let revocation = Revocation {
+            term: 3,
+            machines: vec![SilentMachine {
+                name: "vm-1".into(),
+                session: 1,
+                inquiry: false,
+            }],
+            asked_ms: WALL + 3000,
+        };
+        node.revoke(1, revocation);
+        let Some(Effect::Revoked(_, word)) = node.out.pop() else {
+            panic!("no answer");
+        };
+        assert_eq!(word.renewals[0].age_ms, 3000);
+    }
+
     /// The status that a report is answered with at a time.
     fn answered(node: &mut Node, report: &Report, now: Millis) -> u16 {
         at(node, now);
