As sockets run out connections are closed after reports too: 4,000 machines on a node

Cause: each worker keeps a connection to its leader. With 4,000 machines all of the door's 2,367 places were taken from the 39th second on, and workers and users were refused in turn. Change: once an eighth of the places is left, connections are closed after reports as after polls; a worker comes back over a new one at its next report.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -43,6 +43,8 @@
 pub enum Shed {
     /// Connections to workers that were kept open for the next orders.
     Workers,
+    /// Workers' connections, after a report.
+    Reports,
     /// Users' connections, after a poll.
     Polls,
     /// Connections from outside, at once.
@@ -183,6 +185,7 @@
     pub fn shed(&self, shed: Shed) {
         let what = match shed {
             Shed::Workers => "workers",
+            Shed::Reports => "reports",
             Shed::Polls => "polls",
             Shed::Refused => "refused",
         };
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -18,7 +18,7 @@
 use super::sockets;
 use crate::{
     coordination::{Answer, Ask},
-    metrics::{self, Metrics},
+    metrics::{self, Metrics, Shed},
     protocol::{self, MAX_BODY, ids::JobId, job::Submission, worker::Report},
 };
 
@@ -76,19 +76,15 @@
     }
 }
 
-async fn poll(
-    door: Door,
-    sockets: Arc<sockets::Door>,
-    id: String,
-) -> Result<Response<Bytes>, Infallible> {
-    let mut response = about(door, id, Ask::Poll).await?;
-    if sockets.sheds_polls() {
+/// Has the client come back over a new connection where that is called for.
+fn closing(mut response: Response<Bytes>, sockets: &sockets::Door, what: Shed) -> Response<Bytes> {
+    if sockets.sheds(what) {
         let close = http::HeaderValue::from_static("close");
         response
             .headers_mut()
             .insert(http::header::CONNECTION, close);
     }
-    Ok(response)
+    response
 }
 
 async fn check_in(door: Door, body: Bytes) -> Result<Response<Bytes>, Infallible> {
@@ -133,7 +129,7 @@
 ) {
     let idle = IDLE.max(report * 2);
     let sockets = Arc::new(sockets::Door::new(connections, metrics.clone()));
-    let shedding = sockets.clone();
+    let (polled, reported) = (sockets.clone(), sockets.clone());
     let with_door = warp::any().map(move || door.clone());
     let body = || warp::body::content_length_limit(MAX_BODY).and(warp::body::bytes());
     let submit = with_door
@@ -146,7 +142,8 @@
         .clone()
         .and(warp::path!("v2" / "runs" / String))
         .and(warp::get())
-        .and_then(move |door, id| poll(door, shedding.clone(), id));
+        .and_then(|door, id| about(door, id, Ask::Poll))
+        .map(move |response| closing(response, &polled, Shed::Polls));
     let cancel = with_door
         .clone()
         .and(warp::path!("v2" / "runs" / String / "abort"))
@@ -157,7 +154,8 @@
         .and(warp::path!("checkin"))
         .and(warp::post())
         .and(body())
-        .and_then(check_in);
+        .and_then(check_in)
+        .map(move |response| closing(response, &reported, Shed::Reports));
     let ready = with_door
         .and(warp::path!("ready"))
         .and(warp::get())
--- a/src/transport/sockets.rs
+++ b/src/transport/sockets.rs
@@ -2,7 +2,9 @@
 //!
 //! Whoever is turned away at the door tries another node, which costs a user up to seconds and a worker
 //! a part of its lease. So before that connections are closed that nobody needs just now: first those
-//! that are kept open to workers between orders, then those of users between two polls.
+//! that are kept open to workers between orders, then those of workers between two reports and of users
+//! between two polls. Both come back over a new one, which costs a round trip. With a place for each worker
+//! for good, 2,367 places were not enough for 4,000 machines, and whoever came was refused.
 
 use std::{
     sync::{
@@ -55,13 +57,13 @@
         place
     }
 
-    /// Whether a user that has been answered should come back over a new connection: few places are
-    /// free. It polls every few seconds, so its connection mostly stands idle.
-    pub fn sheds_polls(&self) -> bool {
+    /// Whether a client that has been answered should come back over a new connection: few places are
+    /// free, and what comes every few seconds mostly leaves its connection idle.
+    pub fn sheds(&self, what: Shed) -> bool {
         let scarce = self.places.available_permits() < self.size / SCARCE_PART;
         if scarce {
-            self.metrics.shed(Shed::Polls);
-            self.say("sockets are scarce: users' connections are closed after polls");
+            self.metrics.shed(what);
+            self.say("sockets are scarce: connections are closed after reports and polls");
         }
         scarce
     }
@@ -115,29 +117,26 @@
     use super::*;
 
     #[tokio::test(start_paused = true)]
-    async fn users_are_asked_to_come_back_before_anybody_is_refused() {
+    async fn clients_are_asked_to_come_back_before_anybody_is_refused() {
         let door = Door::new(16, Arc::new(Metrics::default()));
         let mut inside = Vec::new();
         for _ in 0..14 {
             inside.push(door.enter().expect("a place"));
-            assert!(!door.sheds_polls());
+            assert!(!door.sheds(Shed::Reports));
         }
         inside.push(door.enter().expect("a place"));
-        assert!(door.sheds_polls(), "one of 16 is free");
+        assert!(door.sheds(Shed::Reports), "one of 16 is free");
+        assert!(door.sheds(Shed::Polls));
         inside.push(door.enter().expect("a place"));
         assert!(door.enter().is_none());
         inside.truncate(10);
-        assert!(!door.sheds_polls());
+        assert!(!door.sheds(Shed::Polls));
         assert!(door.enter().is_some());
         let text = door.metrics.text();
-        assert!(
-            text.contains(r#"dalelb_shed_total{what="refused"} 1"#),
-            "{text}"
-        );
-        assert!(
-            text.contains(r#"dalelb_shed_total{what="polls"} 1"#),
-            "{text}"
-        );
+        for what in ["refused", "reports", "polls"] {
+            let line = format!("dalelb_shed_total{{what=\"{what}\"}} 1");
+            assert!(text.contains(&line), "{text}");
+        }
     }
 
     #[tokio::test(start_paused = true)]
