A class behind its due gets a part of the room; what is in the way is not started

Nothing looked at a class over time, so it went on for as long as the arrays came. Change: bookkeeping/dues.rs gives each class of each team its due once a second. Who has less than half of it for 5 s is behind: an eighth of the room that becomes free goes to it first until it has caught up, and what was started so gives way to no array. Tasks without aims are not started while more urgent arrays that can wait no longer find no room. Trials that nobody could give way in are remembered for the team's jobs that ask for as much.

--- a/src/bookkeeping/books.rs
+++ b/src/bookkeeping/books.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
-use super::{Millis, millis, pace::Mean, store::PageNumber};
+use super::{Millis, dues::Dues, millis, pace::Mean, store::PageNumber};
 use crate::{
     config::{Objective, Settings},
     protocol::{
@@ -51,6 +51,11 @@
         self.by_name.get(name).copied()
     }
 
+    pub fn name(&self, index: u32) -> Option<&str> {
+        self.iter()
+            .find_map(|(name, at)| (at == index).then_some(name))
+    }
+
     pub fn iter(&self) -> impl Iterator<Item = (&str, u32)> {
         self.by_name.iter().map(|(name, index)| (&name[..], *index))
     }
@@ -320,6 +325,8 @@
     pub stop_sent: bool,
     /// Ended, and its task was dealt with.
     pub settled: bool,
+    /// Placed because its class was behind its due: it gives way to no array.
+    pub owed: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -506,6 +513,8 @@
     wall_base: i64,
     /// Set whenever a scheduling round could find something new to do.
     pub changed: bool,
+    /// What each class of each team is due, and what it got.
+    pub dues: Dues,
 }
 
 impl Books {
@@ -560,6 +569,7 @@
             complete: BTreeSet::new(),
             wall_base: 0,
             changed: true,
+            dues: Dues::default(),
         };
         for zone in &settings.zones {
             books.zone(zone);
@@ -916,6 +926,14 @@
         })
     }
 
+    /// Books a new attempt of a class that is behind its due.
+    pub fn place_owed(&mut self, job: JobIx, task: u32, on: MachineIx, now: Millis) {
+        self.place(job, task, on, now);
+        if let Some(attempt) = self.machines[on.at()].attempts.last_mut() {
+            attempt.owed = true;
+        }
+    }
+
     /// Books a new attempt; its start may be sent once that is stored.
     pub fn place(&mut self, job: JobIx, task: u32, on: MachineIx, now: Millis) {
         let entry = &mut self.jobs[job.at()].tasks[task as usize];
@@ -939,6 +957,7 @@
                 stop: None,
                 stop_sent: false,
                 settled: false,
+                owed: false,
             },
             on,
         );
--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -3,6 +3,7 @@
 pub mod autoscaler;
 pub mod blame;
 pub mod books;
+pub mod dues;
 pub mod pace;
 pub mod scheduler;
 pub mod store;
--- a/src/bookkeeping/scheduler.rs
+++ b/src/bookkeeping/scheduler.rs
@@ -16,7 +16,7 @@
         Amounts, Attempt, Books, ESTIMATE_MARGIN, Job, JobIx, Machine, MachineIx, Phase, QueueKey,
         TeamIx,
     },
-    millis,
+    dues, millis,
 };
 use crate::protocol::job::{Kind, Priority};
 
@@ -77,14 +77,17 @@
 impl Wish {
     /// `None` where it was not for want of room alone.
     fn of(job: &Job, books: &Books, now: Millis) -> Option<Self> {
-        let anywhere = job.kind == Kind::Array
-            && job.zone.is_none()
-            && !job.one_zone
-            && !job.spread
-            && job.failed_on.is_empty()
+        let for_room = job.failed_on.is_empty()
             && !job.at_fault
             && job.not_before <= now
             && books.teams[job.team.at()].allows(&job.need);
+        Wish::anywhere(job).filter(|_| for_room)
+    }
+
+    /// `None` for a job that can't go just anywhere.
+    fn anywhere(job: &Job) -> Option<Self> {
+        let anywhere =
+            job.kind == Kind::Array && job.zone.is_none() && !job.one_zone && !job.spread;
         anywhere.then_some(Wish {
             priority: job.priority,
             need: job.need,
@@ -93,16 +96,20 @@
         })
     }
 
+    /// Whether the job, an array, asks for as much or more.
+    fn asks_less(&self, job: &Job) -> bool {
+        job.kind == Kind::Array
+            && self.need.fits_in(&job.need)
+            && job.types & !self.types == 0
+            && (self.spot || !job.spot)
+    }
+
     /// `kept_for`: jobs for which room is kept from others of the same or a lower priority. What one of
     /// those others did not find may be there for them, and for who is more urgent.
     fn covers(&self, index: JobIx, job: &Job, kept_for: &HashSet<JobIx>) -> bool {
         let alike =
             kept_for.is_empty() || (self.priority <= job.priority && !kept_for.contains(&index));
-        alike
-            && job.kind == Kind::Array
-            && self.need.fits_in(&job.need)
-            && job.types & !self.types == 0
-            && (self.spot || !job.spot)
+        alike && self.asks_less(job)
     }
 }
 
@@ -189,7 +196,11 @@
 
 /// A round that tells of its looks.
 pub fn allocate(books: &mut Books, now: Millis, looks: &mut Looks) -> usize {
-    let deserved = deserved(books, capacity(books));
+    let capacity = capacity(books);
+    let deserved = deserved(books, capacity);
+    books.look_at_dues(now, capacity, &deserved);
+    let mut placed = catch_up(books, now, looks);
+    let behind = books.dues.behind();
     let mut heap: BinaryHeap<_> = (0..books.teams.len() as u32)
         .map(TeamIx)
         .filter(|team| !books.teams[team.at()].queue.is_empty())
@@ -204,18 +215,24 @@
         .map(|(job, _)| job)
         .collect();
     let mut full: Vec<Wish> = Vec::new();
-    let mut placed = 0;
+    // The most urgent array that found no room.
+    let mut pressing: Option<Priority> = None;
     while let Some(Reverse((_, _, team))) = heap.pop() {
         let after = from[team.at()].map_or(Bound::Unbounded, Bound::Excluded);
         let queue = &books.teams[team.at()].queue;
-        let covered = |job: JobIx| {
-            let entry = books.job(job);
-            full.iter().any(|wish| wish.covers(job, entry, &kept_for))
-        };
-        let next = queue
-            .range((after, Bound::Unbounded))
-            .find(|(.., job)| !covered(*job));
-        let Some(&key) = next else {
+        let mut found = None;
+        for key in queue.range((after, Bound::Unbounded)) {
+            let entry = books.job(key.2);
+            if books.dues.in_the_way(entry, now) {
+                continue;
+            }
+            if !full.iter().any(|wish| wish.covers(key.2, entry, &kept_for)) {
+                found = Some(*key);
+                break;
+            }
+            press(&mut pressing, books, entry, now);
+        }
+        let Some(key) = found else {
             continue;
         };
         let job = key.2;
@@ -256,14 +273,24 @@
                     let task = loser.task_id(attempt.task);
                     let ran_s = ran_s(attempt, now) as u64;
                     tracing::info!(%task, %to, reason = "Image", ran_s, "gives way");
+                    let flow = books.flow(attempt.job);
+                    books.dues.standing(flow).gave_way += 1;
                     books.stop(machine, at, 0.0);
                 }
                 books.place(job, task, machine, now);
                 looks.filled.push(machine);
                 placed += 1;
+                if !behind.is_empty() && !behind.contains(&books.flow(job)) {
+                    let units = books.units(&books.job(job).need);
+                    books.dues.earn(units, dues::PART * capacity);
+                }
             }
             None => {
-                full.extend(Wish::of(books.job(job), books, now));
+                let entry = books.job(job);
+                if task.is_some() && ready {
+                    press(&mut pressing, books, entry, now);
+                }
+                full.extend(Wish::of(entry, books, now));
                 from[team.at()] = Some(key);
             }
         }
@@ -273,6 +300,61 @@
         }
         heap.push(Reverse(turn(books, team, &deserved)));
     }
+    if let Some(priority) = pressing {
+        books.dues.press(priority, now);
+    }
+    placed
+}
+
+/// Notes that an array found no room and can wait no longer: others will have to give way for it.
+fn press(pressing: &mut Option<Priority>, books: &Books, job: &Job, now: Millis) {
+    if job.kind == Kind::Array
+        && !job.at_fault
+        && job.not_before <= now
+        && !patient(books, job, now)
+    {
+        *pressing = Some(pressing.map_or(job.priority, |known| known.min(job.priority)));
+    }
+}
+
+/// Gives those that are behind their due their part of the room that others have got.
+fn catch_up(books: &mut Books, now: Millis, looks: &mut Looks) -> usize {
+    let mut placed = 0;
+    for flow in books.dues.behind() {
+        let jobs: Vec<JobIx> = books
+            .first_of(flow, now)
+            .take(ROUND)
+            .map(|(.., job)| job)
+            .collect();
+        let mut full: Vec<Wish> = Vec::new();
+        for job in jobs {
+            let need = books.job(job).need;
+            let entry = books.job(job);
+            if full
+                .iter()
+                .any(|wish| wish.covers(job, entry, &HashSet::new()))
+            {
+                continue;
+            }
+            while books.dues.credit() > 0.0 && placed < ROUND {
+                let entry = books.job(job);
+                let Some(&task) = entry.waiting.first() else {
+                    break;
+                };
+                if entry.open_slots() == 0 || !books.teams[entry.team.at()].allows(&need) {
+                    break;
+                }
+                let Some(machine) = looks.best(books, job, task, now) else {
+                    full.extend(Wish::of(books.job(job), books, now));
+                    break;
+                };
+                books.place_owed(job, task, machine, now);
+                looks.filled.push(machine);
+                books.dues.spend(books.units(&need));
+                placed += 1;
+            }
+        }
+    }
     placed
 }
 
@@ -431,7 +513,8 @@
         .waits_to_end
         .iter()
         .filter(|wait| placed <= **wait && again < **wait + usual && again + over > **wait);
-    SPOILED_S * starts.count() as f64 + SPOILED_END_S * ends.count() as f64
+    let owed = if attempt.owed { SPOILED_S } else { 0.0 };
+    SPOILED_S * starts.count() as f64 + SPOILED_END_S * ends.count() as f64 + owed
 }
 
 /// How long the job's image takes to get there.
@@ -627,6 +710,7 @@
         let guarantee = books.units(&books.teams[team].guarantee);
         let mut hope = deserved[team].min(guarantee) - booked[team];
         let mut budget = books.teams[team].booked;
+        let mut vain: Vec<Vain> = Vec::new();
         for &(_, _, job) in &books.teams[team].queue {
             let entry = books.job(job);
             // A gang waits for room of its own; nobody is stopped for a part of it.
@@ -635,12 +719,19 @@
                 continue;
             }
             let units = books.units(&entry.need);
+            let patient = patient(books, entry, now);
+            if vain
+                .iter()
+                .any(|other| other.covers(entry, patient, units <= hope + 1e-6))
+            {
+                continue;
+            }
             let mut trial = Trial {
                 books,
                 index: job,
                 job: entry,
                 team: TeamIx(team as u32),
-                patient: patient(books, entry, now),
+                patient,
                 starved: units <= hope + 1e-6,
                 rooms: &mut rooms,
                 excess: &mut excess,
@@ -660,6 +751,7 @@
                 }
                 trial.starved = units <= hope + 1e-6;
                 let Some(chosen) = trial.best(&mut places) else {
+                    vain.extend(Vain::of(entry, patient, trial.starved));
                     break;
                 };
                 budget = asked;
@@ -671,6 +763,33 @@
     victims
 }
 
+/// A trial in which nobody could give way: it ends alike for those of the team's jobs that ask for as much or
+/// more, since a check only takes room. A look at all machines for each of 5000 single tasks took seconds.
+struct Vain {
+    wish: Wish,
+    patient: bool,
+    starved: bool,
+}
+
+impl Vain {
+    /// `None` where it was not for want of room alone.
+    fn of(job: &Job, patient: bool, starved: bool) -> Option<Self> {
+        let wish = Wish::anywhere(job)?;
+        Some(Vain {
+            wish,
+            patient,
+            starved,
+        })
+    }
+
+    fn covers(&self, job: &Job, patient: bool, starved: bool) -> bool {
+        (patient || !self.patient)
+            && (self.starved || !starved)
+            && self.wish.priority <= job.priority
+            && self.wish.asks_less(job)
+    }
+}
+
 /// What is lost if the attempt is told to stop now, in seconds of one task.
 fn lost_s(books: &Books, attempt: &Attempt, now: Millis) -> f64 {
     let job = books.job(attempt.job);
@@ -772,6 +891,10 @@
             })
             .filter_map(|(at, attempt)| {
                 let loser = books.job(attempt.job);
+                // What its class was owed it keeps: otherwise it would be owed again at once.
+                if attempt.owed && job.kind != Kind::Service {
+                    return None;
+                }
                 // Replicas have no such times; they are the last to be taken for work without aims.
                 if self.patient && (loser.kind == Kind::Service || !loser.latest.is_empty()) {
                     return None;
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -574,6 +574,8 @@
                 "runs"
             );
             books.start_waits.push(wait);
+            let flow = books.flow(index);
+            books.dues.standing(flow).started += 1;
         }
     }
     for at in (0..shown.len()).rev() {
@@ -611,6 +613,8 @@
         if cause == Cause::Done {
             if !closed && latest.status == TaskStatus::Active(on) && latest.attempt == number {
                 books.complete_task(job, task);
+                let flow = books.flow(job);
+                books.dues.standing(flow).done += 1;
             }
             books.machines[on.at()].attempts[at].settled = true;
             books.machines[on.at()].failures.clear();
@@ -841,6 +845,7 @@
             stop: None,
             stop_sent: false,
             settled: false,
+            owed: false,
         }
     }
 
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -519,6 +519,8 @@
                     .map_or(0, |since| now.saturating_sub(since) / 1000);
                 let (task, to) = (job.task_id(attempt.task), books.job(victim.for_job).id);
                 tracing::info!(%task, %to, reason = ?victim.reason, ran_s, "gives way");
+                let flow = books.flow(attempt.job);
+                books.dues.standing(flow).gave_way += 1;
                 books.stop(victim.machine, victim.at, grace);
                 let until = now + HELD + (grace * 1000.0) as Millis;
                 books.machines[victim.machine.at()].held_for = Some((victim.for_job, until));
