--- /dev/null
+++ b/crates/served/src/bound.rs
@@ -0,0 +1,142 @@
+//! What was possible: a linear program over all that was accepted, with hindsight.
+//!
+//! Time is cut into slices. In each, the classes' work adds up to what the fleet holds at its largest at most, and
+//! no work is done before it has come. Images, boots, zones and whole tasks are left out, so nobody can do
+//! better. The least served class is served as well as can be; then each class for itself, with the others kept
+//! at that.
+
+use std::collections::BTreeMap;
+
+use good_lp::{
+    Expression, ProblemVariables, ResolutionError, Solution, SolverModel, Variable, microlp,
+    variable,
+};
+
+use super::log::{Name, Run};
+
+/// Slices of the whole run.
+const SLICES: usize = 40;
+
+struct Work {
+    /// What comes in each slice, in unit seconds.
+    comes: Vec<f64>,
+}
+
+impl Work {
+    fn whole(&self) -> f64 {
+        self.comes.iter().sum()
+    }
+}
+
+/// The part of each class's work that could have been done by the end, from 0 to 1. `units`: what the fleet holds.
+pub fn possible(run: &Run, units: f64) -> Result<BTreeMap<Name, f64>, ResolutionError> {
+    let begin = run
+        .jobs
+        .values()
+        .map(|job| job.accepted_at)
+        .fold(f64::INFINITY, f64::min);
+    let slice_s = ((run.end - begin) / SLICES as f64).max(1e-3);
+    let mut works: BTreeMap<Name, Work> = BTreeMap::new();
+    for job in run.jobs.values() {
+        let work = works.entry(job.name.clone()).or_insert_with(|| Work {
+            comes: vec![0.0; SLICES],
+        });
+        let at = |time: f64| (((time - begin) / slice_s) as usize).min(SLICES - 1);
+        let each = job.tasks as f64 * job.units;
+        if job.service {
+            // Wanted from when it came until it was cancelled, a slice at a time.
+            let until = job.ended_at.unwrap_or(run.end);
+            for slice in at(job.accepted_at)..=at(until) {
+                let from = (begin + slice as f64 * slice_s).max(job.accepted_at);
+                let to = (begin + (slice + 1) as f64 * slice_s).min(until);
+                work.comes[slice] += each * (to - from).max(0.0);
+            }
+        } else if !job.cancelled {
+            work.comes[at(job.accepted_at)] += each * job.estimate_s;
+        }
+    }
+    works.retain(|_, work| work.whole() > 0.0);
+    let room = units * slice_s;
+    let least = solve(&works, room, None, 0.0)?;
+    let mut possible = BTreeMap::new();
+    for name in works.keys() {
+        let part = solve(&works, room, Some(name), least * 0.999)?;
+        possible.insert(name.clone(), part.min(1.0));
+    }
+    Ok(possible)
+}
+
+/// The largest part of `best`'s work, or of everybody's, that can be done while all have at least `least`.
+fn solve(
+    works: &BTreeMap<Name, Work>,
+    room: f64,
+    best: Option<&Name>,
+    least: f64,
+) -> Result<f64, ResolutionError> {
+    let mut variables = ProblemVariables::new();
+    let part = variables.add(variable().min(0.0).max(1.0));
+    let done: Vec<Vec<Variable>> = works
+        .values()
+        .map(|_| variables.add_vector(variable().min(0.0), SLICES))
+        .collect();
+    let mut problem = variables.maximise(part).using(microlp);
+    for slice in 0..SLICES {
+        let all: Expression = done.iter().map(|class| class[slice]).sum();
+        // In parts of the room, so that numbers stay near one.
+        problem = problem.with(all.leq(1.0));
+    }
+    for ((name, work), class) in works.iter().zip(&done) {
+        let mut come = 0.0;
+        for slice in 0..SLICES {
+            come += work.comes[slice] / room;
+            let sum: Expression = class[..=slice].iter().sum();
+            problem = problem.with(sum.leq(come));
+        }
+        let sum: Expression = class.iter().sum();
+        let whole = work.whole() / room;
+        if best.is_none_or(|best| best == name) {
+            problem = problem.with((sum.clone() - whole * part).geq(0.0));
+        }
+        problem = problem.with(sum.geq(whole * least));
+    }
+    Ok(problem.solve()?.value(part))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn line(job: u64, at: f64, class: &str, tasks: u64, cpus: f64) -> String {
+        format!(
+            "{at} n1 INFO users: accepted job=j-{job:06} kind=Array class=\"{class}\" team=\"t\" tasks={tasks} \
+             cpus={cpus} gpus=0.0 estimate_s=10.0 awaits=[]\n"
+        )
+    }
+
+    #[test]
+    fn what_is_possible_is_what_the_room_allows_and_no_more() {
+        let mut run = Run::default();
+        // 100 s of 10 units; 1,500 unit seconds of one class, 100 of another that comes at half time.
+        let text = line(1, 0.0, "large", 150, 1.0) + &line(2, 50.0, "small", 10, 1.0);
+        run.read(&(text + "100 n1 INFO end\n"));
+        let possible = possible(&run, 10.0).expect("it can be solved");
+        let of = |class: &str| possible[&("t".to_string(), class.to_string())];
+        // 1,600 are asked for where 1,000 fit: nobody can have more without the other having less.
+        for class in ["small", "large"] {
+            assert!((of(class) - 0.625).abs() < 0.02, "{possible:?}");
+        }
+    }
+
+    #[test]
+    fn what_comes_too_late_cannot_be_done() {
+        let mut run = Run::default();
+        run.read(
+            &(line(1, 0.0, "early", 1, 1.0)
+                + &line(2, 90.0, "late", 20, 1.0)
+                + "100 n1 INFO end\n"),
+        );
+        let possible = possible(&run, 10.0).expect("it can be solved");
+        let late = possible[&("t".to_string(), "late".to_string())];
+        assert!((late - 0.5).abs() < 0.05, "{possible:?}");
+    }
+}
--- /dev/null
+++ b/crates/served/src/log.rs
@@ -0,0 +1,267 @@
+//! What the nodes' logs tell of jobs and classes.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::LazyLock,
+    time::UNIX_EPOCH,
+};
+
+use regex::Regex;
+
+/// Team and class.
+pub type Name = (String, String);
+
+static FIELD: LazyLock<Regex> = LazyLock::new(|| {
+    Regex::new(r#"(\w+)=(?:"([^"]*)"|(\[[^\]]*\]|\S+))"#).expect("a valid expression")
+});
+
+/// A count that begins anew with each process or leadership: the sum over all of them.
+#[derive(Clone, Copy, Debug, Default)]
+struct Sum {
+    before: u64,
+    now: u64,
+}
+
+impl Sum {
+    fn says(&mut self, value: u64) {
+        if value < self.now {
+            self.before += self.now;
+        }
+        self.now = value;
+    }
+
+    fn total(self) -> u64 {
+        self.before + self.now
+    }
+}
+
+/// One job, as it was accepted. Times are seconds.
+#[derive(Clone, Debug)]
+pub struct Job {
+    pub name: Name,
+    pub service: bool,
+    pub tasks: u64,
+    /// Units of one task.
+    pub units: f64,
+    pub estimate_s: f64,
+    pub accepted_at: f64,
+    /// When it was done or cancelled.
+    pub ended_at: Option<f64>,
+    pub done: bool,
+    pub cancelled: bool,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Class {
+    pub jobs: u64,
+    pub tasks: u64,
+    /// Tasks of jobs that were not cancelled, and of those that were done.
+    wanted: u64,
+    finished: u64,
+    service: bool,
+    counts: HashMap<&'static str, Sum>,
+}
+
+/// Counts that the leader's `served` lines give.
+const COUNTS: [&str; 6] = [
+    "came",
+    "sent_away",
+    "given_up",
+    "started",
+    "done",
+    "gave_way",
+];
+
+impl Class {
+    fn count(&self, name: &str) -> u64 {
+        self.counts.get(name).map_or(0, |sum| sum.total())
+    }
+
+    pub fn came(&self) -> u64 {
+        self.count("came").max(self.jobs)
+    }
+
+    pub fn sent_away(&self) -> u64 {
+        self.count("sent_away")
+    }
+
+    pub fn given_up(&self) -> u64 {
+        self.count("given_up")
+    }
+
+    pub fn started(&self) -> u64 {
+        self.count("started")
+    }
+
+    pub fn done(&self) -> u64 {
+        self.count("done")
+    }
+
+    pub fn gave_way(&self) -> u64 {
+        self.count("gave_way")
+    }
+
+    /// The part of what was asked for that was served, from 0 to 1: tasks of jobs that were done, of all arrays
+    /// that were not cancelled; of services the tasks that ran at all. Users who gave up asked for as much as
+    /// others.
+    pub fn served(&self) -> f64 {
+        let let_in = self.jobs as f64 / (self.jobs + self.given_up()).max(1) as f64;
+        let part = if self.service {
+            self.started() as f64 / self.tasks.max(1) as f64
+        } else {
+            self.finished as f64 / self.wanted.max(1) as f64
+        };
+        let_in * part.min(1.0)
+    }
+}
+
+#[derive(Default)]
+pub struct Run {
+    pub jobs: HashMap<String, Job>,
+    classes: BTreeMap<Name, Class>,
+    /// When the last line was written.
+    pub end: f64,
+}
+
+impl Run {
+    pub fn read(&mut self, text: &str) {
+        for line in text.lines() {
+            let Some(at) = time(line) else { continue };
+            self.end = self.end.max(at);
+            let fields = || -> HashMap<&str, &str> {
+                let found = FIELD.captures_iter(line).map(|found| {
+                    let value = found
+                        .get(2)
+                        .or(found.get(3))
+                        .map_or("", |value| value.as_str());
+                    let name = found.get(1).map_or("", |name| name.as_str());
+                    (name, value)
+                });
+                found.collect()
+            };
+            if line.contains(": accepted job=") {
+                self.accepted(&fields(), at);
+            } else if line.contains(": done job=") {
+                self.ended(&fields(), at, true);
+            } else if line.contains(": cancelled job=") || line.contains(": cancelled with a job") {
+                self.ended(&fields(), at, false);
+            } else if line.contains(": served team=") {
+                self.served(&fields());
+            }
+        }
+    }
+
+    fn accepted(&mut self, fields: &HashMap<&str, &str>, at: f64) {
+        let text = |name| fields.get(name).map(|value: &&str| value.to_string());
+        let number = |name| fields.get(name).and_then(|value| value.parse::<f64>().ok());
+        let (Some(id), Some(team), Some(class)) = (text("job"), text("team"), text("class")) else {
+            return;
+        };
+        let gpus = number("gpus").unwrap_or(0.0);
+        let job = Job {
+            name: (team, class),
+            service: fields.get("kind").is_some_and(|kind| *kind == "Service"),
+            tasks: number("tasks").unwrap_or(0.0) as u64,
+            units: if gpus > 0.0 {
+                gpus
+            } else {
+                number("cpus").unwrap_or(0.0)
+            },
+            estimate_s: number("estimate_s").unwrap_or(0.0),
+            accepted_at: at,
+            ended_at: None,
+            done: false,
+            cancelled: false,
+        };
+        self.jobs.entry(id).or_insert(job);
+    }
+
+    fn ended(&mut self, fields: &HashMap<&str, &str>, at: f64, done: bool) {
+        if let Some(job) = fields.get("job").and_then(|id| self.jobs.get_mut(*id)) {
+            job.ended_at.get_or_insert(at);
+            job.done |= done;
+            job.cancelled |= !done;
+        }
+    }
+
+    fn served(&mut self, fields: &HashMap<&str, &str>) {
+        let (Some(team), Some(class)) = (fields.get("team"), fields.get("class")) else {
+            return;
+        };
+        let class = self
+            .classes
+            .entry((team.to_string(), class.to_string()))
+            .or_default();
+        for name in COUNTS {
+            if let Some(value) = fields.get(name).and_then(|value| value.parse().ok()) {
+                class.counts.entry(name).or_default().says(value);
+            }
+        }
+    }
+
+    /// All classes, with what their jobs came to.
+    pub fn classes(&self) -> BTreeMap<&Name, Class> {
+        let mut classes: BTreeMap<&Name, Class> = BTreeMap::new();
+        for (name, class) in &self.classes {
+            classes.insert(name, class.clone());
+        }
+        for job in self.jobs.values() {
+            let class = classes.entry(&job.name).or_default();
+            class.jobs += 1;
+            class.tasks += job.tasks;
+            class.service |= job.service;
+            if !job.cancelled {
+                class.wanted += job.tasks;
+            }
+            if job.done {
+                class.finished += job.tasks;
+            }
+        }
+        classes
+    }
+}
+
+/// When a line was written, in seconds: a number in front, or a time of day.
+fn time(line: &str) -> Option<f64> {
+    let first = line.split_whitespace().next()?;
+    if let Ok(seconds) = first.parse() {
+        return Some(seconds);
+    }
+    let at = humantime::parse_rfc3339(first).ok()?;
+    Some(at.duration_since(UNIX_EPOCH).ok()?.as_secs_f64())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const LOG: &str = r#"
+  10.0 n1 INFO dalelb::coordination::users: accepted job=j-000001 kind=Array class="thumbs" team="lab" tasks=4 cpus=0.5 gpus=0.0 estimate_s=10.0 awaits=[] due_s=9.0
+  11.0 n1 INFO dalelb::coordination::users: accepted job=j-000002 kind=Array class="thumbs" team="lab" tasks=4 cpus=0.5 gpus=0.0 estimate_s=10.0 awaits=[j-000001, j-000003]
+  12.0 n2 INFO dalelb::coordination::users: accepted job=j-000003 kind=Service class="front" team="web" tasks=2 cpus=4.0 gpus=0.0 estimate_s=0.0 awaits=[]
+  13.0 n1 INFO dalelb::coordination::admission: served team="lab" class="thumbs" came=3 sent_away=2 given_up=0 started=5 done=4 gave_way=1
+  14.0 n1 INFO dalelb::coordination::notes: done job=j-000001
+  20.0 n2 INFO dalelb::coordination::admission: served team="lab" class="thumbs" came=3 sent_away=2 given_up=2 started=1 done=0 gave_way=0
+  21.0 n2 INFO dalelb::coordination::admission: served team="web" class="front" came=1 sent_away=0 given_up=0 started=1 done=0 gave_way=0
+2026-12-01T00:00:00Z INFO dalelb::daemon: starting
+garbage
+"#;
+
+    #[test]
+    fn counts_go_on_across_leaders_and_shares_follow() {
+        let mut run = Run::default();
+        run.read(LOG);
+        let classes = run.classes();
+        let thumbs = &classes[&("lab".to_string(), "thumbs".to_string())];
+        assert_eq!(
+            (thumbs.started(), thumbs.done(), thumbs.gave_way()),
+            (6, 4, 1)
+        );
+        assert_eq!((thumbs.jobs, thumbs.tasks, thumbs.came()), (2, 8, 3));
+        // Half of the tasks, of half of those who asked.
+        assert!((thumbs.served() - 0.25).abs() < 1e-9, "{}", thumbs.served());
+        let front = &classes[&("web".to_string(), "front".to_string())];
+        assert!((front.served() - 0.5).abs() < 1e-9);
+        assert!(run.end > 1e9);
+    }
+}
--- /dev/null
+++ b/crates/served/src/main.rs
@@ -0,0 +1,93 @@
+//! How each class of each team was served, from the logs of a run's nodes at level `info` or finer, and what
+//! would have been possible by an offline bound.
+
+mod bound;
+mod log;
+
+use std::{fs, path::PathBuf, process::ExitCode};
+
+use clap::Parser;
+
+/// Reads the logs of all nodes of one run, merged or one after the other, and prints a line for each class.
+#[derive(Parser)]
+#[command(version)]
+struct Arguments {
+    /// Log files at level `info` or finer.
+    #[arg(required = true)]
+    logs: Vec<PathBuf>,
+    /// What the whole fleet holds at its largest, in units (GPUs, or CPUs where there are none): also prints what
+    /// an offline bound says was possible.
+    #[arg(long)]
+    units: Option<f64>,
+    /// Ends with an error if a class was served less than this part of what was possible (or of all that it asked
+    /// for, without --units), from 0 to 1.
+    #[arg(long)]
+    least: Option<f64>,
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    let mut run = log::Run::default();
+    for path in &arguments.logs {
+        match fs::read(path) {
+            Ok(bytes) => run.read(&String::from_utf8_lossy(&bytes)),
+            Err(error) => {
+                eprintln!("{}: {error}", path.display());
+                return ExitCode::from(2);
+            }
+        }
+    }
+    let bounds = match arguments.units.map(|units| bound::possible(&run, units)) {
+        Some(Ok(bounds)) => bounds,
+        Some(Err(error)) => {
+            eprintln!("the bound: {error}");
+            return ExitCode::from(2);
+        }
+        None => Default::default(),
+    };
+    println!(
+        "{:<32} {:>9} {:>9} {:>8} {:>8} {:>9} {:>9} {:>8} {:>8} {:>7} {:>8}",
+        "team/class",
+        "came",
+        "accepted",
+        "away",
+        "given up",
+        "tasks",
+        "started",
+        "done",
+        "lost to",
+        "served",
+        "possible"
+    );
+    let mut poor = Vec::new();
+    for (name, class) in run.classes() {
+        let served = class.served();
+        let possible = bounds.get(name).copied();
+        let shown = possible.map_or("-".into(), |part| format!("{part:.3}"));
+        println!(
+            "{:<32} {:>9} {:>9} {:>8} {:>8} {:>9} {:>9} {:>8} {:>8} {:>7.3} {:>8}",
+            format!("{}/{}", name.0, name.1),
+            class.came(),
+            class.jobs,
+            class.sent_away(),
+            class.given_up(),
+            class.tasks,
+            class.started(),
+            class.done(),
+            class.gave_way(),
+            served,
+            shown
+        );
+        if arguments
+            .least
+            .is_some_and(|least| served < least * possible.unwrap_or(1.0))
+        {
+            poor.push(format!("{}/{}", name.0, name.1));
+        }
+    }
+    if !poor.is_empty() {
+        eprintln!("served too little: {}", poor.join(", "));
+        return ExitCode::FAILURE;
+    }
+    ExitCode::SUCCESS
+}
--- a/src/bookkeeping/store.rs
+++ b/src/bookkeeping/store.rs
@@ -2,7 +2,7 @@
 //!
 //! * `shared/`: followed by every node. `shared/job/<id>` is a job's record, with `shared/part/<id>/`
 //!   where that is too long for one value, `shared/leader` names the leader (on its lease), `shared/term` holds the term, `shared/types` the machine types
-//!   as the cloud last told them, `shared/deputy/<node>` is a node's right to renew workers' leases.
+//!   as the cloud last told them, `shared/deputy/<node>` is a node's right to renew workers' leases, `shared/admission` what nodes may let in.
 //! * `books/log/<slot>`: the leader's log, a ring of entries. An entry notes what changed since the
 //!   one before, for tasks of any number of jobs, so that a change costs a part of a write only.
 //! * `books/task/<id>/<number>`: a page, all that is known of a stretch of a job's tasks. Pages are
@@ -30,6 +30,8 @@
 pub const LEADER: &str = "shared/leader";
 pub const TERM: &str = "shared/term";
 pub const TYPES: &str = "shared/types";
+/// The agreed table of what the nodes may let in (`coordination/admission`).
+pub const TABLE: &str = "shared/admission";
 const DEPUTY: &str = "shared/deputy/";
 pub const BOOKS: &str = "books/";
 const JOB: &str = "shared/job/";
--- /dev/null
+++ b/src/coordination/admission/door.rs
@@ -0,0 +1,550 @@
+//! A node's door for submissions: who is let in at once, who is given a turn, and what is told to whom.
+//!
+//! Each class that the table names has a bucket that fills at the node's part for it; what a bucket can't hold is
+//! for whoever comes, as is the node's rest. So no part stays idle while somebody wants it, and a flood of one
+//! class takes nothing that another asks for. Whoever finds nothing gets a turn: the time at which, by the class's
+//! rate, his place in the queue comes up. Users try for 60 s in all, so a turn beyond that is none, and who can't
+//! have one is told so at once. Who comes back in time goes before newcomers of his class, at any node: turns are
+//! told with the words that members exchange.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use super::table::{Class, Parts};
+use crate::{bookkeeping::Millis, protocol::ids::JobId};
+
+/// Users try again for this long, by the protocol, and wait for as long as they are told at the most.
+const TRIES: Millis = 60_000;
+const LONGEST: Millis = 30_000;
+/// Kept free before the end of his tries, for the way.
+const SPARE: Millis = 4000;
+/// Who is this late for his turn has lost it, and who is so early has come.
+const LATE: Millis = 5000;
+const EARLY: Millis = 1000;
+/// A bucket holds what comes in within this time, in seconds.
+const DEPTH_S: f64 = 3.0;
+/// Classes that no table names share the rest: none of them is slower than this part of it.
+const UNNAMED: f64 = 0.25;
+/// Demand is a mean that forgets over this time, in seconds; those who wait are to be let in within it.
+const WINDOW_S: f64 = 5.0;
+/// Turns told to the members at once.
+const TOLD: usize = 256;
+/// Submissions that are remembered for when they first came.
+const REMEMBERED: usize = 20_000;
+/// Who was told to come back and was not seen again for so long has given up.
+const GIVEN_UP: Millis = TRIES + 5000;
+
+/// What became of the submissions of a class at this node, since the process began.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Different jobs.
+    pub came: u64,
+    /// Accepted, and those of them that were within a second of their first try here.
+    pub accepted: u64,
+    pub in_time: u64,
+    /// Told to come back: how often.
+    pub sent_away: u64,
+    /// Told so without a turn, as there is none within their user's tries.
+    pub no_turn: u64,
+    /// Sent away, and neither accepted nor seen again.
+    pub given_up: u64,
+}
+
+impl Counts {
+    pub fn add(&mut self, other: &Counts) {
+        self.came += other.came;
+        self.accepted += other.accepted;
+        self.in_time += other.in_time;
+        self.sent_away += other.sent_away;
+        self.no_turn += other.no_turn;
+        self.given_up += other.given_up;
+    }
+}
+
+/// What a submission is told at the door.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Knock {
+    /// Let in; it counts as within its class's due, or beyond.
+    In { within: bool },
+    /// Come back in so many seconds: a turn, or none (`turn` false).
+    Away { after_s: u32, turn: bool },
+}
+
+#[derive(Debug, Default)]
+struct Bucket {
+    tokens: f64,
+    rate: f64,
+    /// Comes for the first time, a second.
+    demand: f64,
+    came: u32,
+    /// The latest turn that was given, in milliseconds.
+    last_turn: Millis,
+    counts: Counts,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Turn {
+    class: usize,
+    at: Millis,
+    /// Given here; others were heard of.
+    own: bool,
+}
+
+/// When a job was first seen here and when last, and its class.
+#[derive(Clone, Copy, Debug)]
+struct Guest {
+    class: usize,
+    first: Millis,
+    last: Millis,
+    /// It was let in, and its answer is awaited.
+    inside: bool,
+    sent_away: bool,
+}
+
+#[derive(Default)]
+pub struct Door {
+    index: HashMap<Class, usize>,
+    names: Vec<Class>,
+    buckets: Vec<Bucket>,
+    /// For whoever comes.
+    rest: Bucket,
+    guests: HashMap<JobId, Guest>,
+    turns: HashMap<JobId, Turn>,
+    /// The same, by class and time.
+    queue: BTreeSet<(usize, Millis, JobId)>,
+    filled_at: Millis,
+    looked_at: Millis,
+}
+
+impl Door {
+    fn class(&mut self, class: &Class) -> usize {
+        if let Some(&known) = self.index.get(class) {
+            return known;
+        }
+        self.index.insert(class.clone(), self.buckets.len());
+        self.names.push(class.clone());
+        self.buckets.push(Bucket::default());
+        self.buckets.len() - 1
+    }
+
+    /// Follows the node's parts, which may have changed: what has come in since the last time.
+    pub fn fill(&mut self, parts: &Parts, now: Millis) {
+        // A new process has done nothing yet.
+        let passed = match self.filled_at {
+            0 => DEPTH_S,
+            at => now.saturating_sub(at) as f64 / 1000.0,
+        };
+        self.filled_at = now;
+        for class in parts.classes.keys() {
+            self.class(class);
+        }
+        let mut over = 0.0;
+        for (name, bucket) in self.names.iter().zip(&mut self.buckets) {
+            bucket.rate = parts.classes.get(name).copied().unwrap_or(0.0);
+            let depth = bucket.rate * DEPTH_S;
+            bucket.tokens += bucket.rate * passed;
+            over += (bucket.tokens - depth).max(0.0);
+            bucket.tokens = bucket.tokens.min(depth);
+        }
+        self.rest.rate = parts.rest;
+        let depth = parts.whole() * DEPTH_S;
+        let gained = over + parts.rest * passed;
+        self.rest.tokens = (self.rest.tokens + gained).min(depth);
+    }
+
+    /// A submission that is not known yet asks to be let in.
+    pub fn knock(&mut self, class: &Class, job: JobId, now: Millis) -> Knock {
+        let class = self.class(class);
+        if self.guests.len() >= REMEMBERED {
+            self.forget(now, now.saturating_sub(SPARE));
+        }
+        let guest = self.guests.entry(job).or_insert(Guest {
+            class,
+            first: now,
+            last: now,
+            inside: false,
+            sent_away: false,
+        });
+        let first = guest.first;
+        guest.last = now;
+        let turn = self.turns.get(&job).copied();
+        // One that another node gave a turn has been counted there.
+        let newcomer = first == now && !guest.sent_away && turn.is_none();
+        if newcomer {
+            self.buckets[class].came += 1;
+            self.buckets[class].counts.came += 1;
+        }
+        let his_turn = turn.is_some_and(|turn| turn.at <= now + EARLY);
+        let due = if his_turn { 0 } else { self.due(class, now) };
+        let bucket = &mut self.buckets[class];
+        // Whose turn has come takes it even where newcomers took more meanwhile.
+        let least = if his_turn {
+            1.0 - bucket.rate.max(1.0)
+        } else {
+            1.0 + due as f64
+        };
+        let within = bucket.tokens >= least && bucket.rate > 0.0;
+        if within || (self.rest.tokens >= 1.0 && due == 0) {
+            if within {
+                bucket.tokens -= 1.0;
+            } else {
+                self.rest.tokens -= 1.0;
+            }
+            self.take_turn(job);
+            if let Some(guest) = self.guests.get_mut(&job) {
+                guest.inside = true;
+            }
+            // What no table names is within its due for as long as there is a rest.
+            let unnamed = self.buckets[class].rate <= 0.0;
+            return Knock::In {
+                within: within || his_turn || unnamed,
+            };
+        }
+        bucket.counts.sent_away += 1;
+        if let Some(guest) = self.guests.get_mut(&job) {
+            guest.sent_away = true;
+        }
+        let last = first + TRIES - SPARE;
+        let at = match turn.filter(|turn| turn.at + LATE > now) {
+            Some(turn) => turn.at.max(now + EARLY),
+            None => {
+                let bucket = &self.buckets[class];
+                let rate = bucket.rate.max(self.rest.rate * UNNAMED).max(0.01);
+                let at = bucket.last_turn.max(now + EARLY) + (1000.0 / rate) as Millis;
+                if at > last {
+                    self.buckets[class].counts.no_turn += 1;
+                    let after_s = (LONGEST / 1000) as u32;
+                    return Knock::Away {
+                        after_s,
+                        turn: false,
+                    };
+                }
+                self.buckets[class].last_turn = at;
+                self.queue.insert((class, at, job));
+                let own = true;
+                self.turns.insert(job, Turn { class, at, own });
+                at
+            }
+        };
+        let after = (at - now).clamp(1000, LONGEST);
+        let after_s = after.div_ceil(1000) as u32;
+        Knock::Away {
+            after_s,
+            turn: true,
+        }
+    }
+
+    /// How many of a class whose turn has come have not come back yet.
+    fn due(&self, class: usize, now: Millis) -> usize {
+        let from = now.saturating_sub(LATE);
+        let due = (class, from, JobId(0))..=(class, now + EARLY, JobId(u64::MAX));
+        self.queue.range(due).count()
+    }
+
+    fn take_turn(&mut self, job: JobId) {
+        if let Some(turn) = self.turns.remove(&job) {
+            self.queue.remove(&(turn.class, turn.at, job));
+        }
+    }
+
+    /// The job is accepted: here, or at another node.
+    pub fn accepted(&mut self, job: JobId, here: bool, now: Millis) {
+        self.take_turn(job);
+        let Some(guest) = self.guests.remove(&job) else {
+            return;
+        };
+        if here {
+            let counts = &mut self.buckets[guest.class].counts;
+            counts.accepted += 1;
+            counts.in_time += u64::from(guest.first + 1000 >= now);
+        }
+    }
+
+    /// The submission was let in, and got no answer but to try again.
+    pub fn refused(&mut self, job: JobId) {
+        if let Some(guest) = self.guests.get_mut(&job)
+            && guest.inside
+        {
+            guest.inside = false;
+            guest.sent_away = true;
+            self.buckets[guest.class].counts.sent_away += 1;
+        }
+    }
+
+    /// Follows demand, and forgets who is gone. To be called some times a second.
+    pub fn look(&mut self, now: Millis) {
+        if self.looked_at + 1000 > now {
+            return;
+        }
+        let passed = now.saturating_sub(self.looked_at) as f64 / 1000.0;
+        self.looked_at = now;
+        let part = 1.0 - (-passed / WINDOW_S).exp();
+        for bucket in &mut self.buckets {
+            let rate = f64::from(std::mem::take(&mut bucket.came)) / passed;
+            bucket.demand += (rate - bucket.demand) * part;
+        }
+        let missed: Vec<JobId> = self
+            .turns
+            .iter()
+            .filter(|(_, turn)| turn.at + LATE <= now)
+            .map(|(job, _)| *job)
+            .collect();
+        missed.into_iter().for_each(|job| self.take_turn(job));
+        self.forget(now, now.saturating_sub(GIVEN_UP));
+        // Who waits no more is waited for by nobody.
+        let mut waiting = vec![false; self.buckets.len()];
+        for turn in self.turns.values() {
+            waiting[turn.class] = true;
+        }
+        for (bucket, waiting) in self.buckets.iter_mut().zip(waiting) {
+            if !waiting {
+                bucket.last_turn = 0;
+            }
+        }
+    }
+
+    /// Forgets those not seen since.
+    fn forget(&mut self, now: Millis, since: Millis) {
+        let buckets = &mut self.buckets;
+        self.guests.retain(|_, guest| {
+            let gone = guest.last <= since && guest.last < now;
+            if gone && guest.sent_away && !guest.inside {
+                buckets[guest.class].counts.given_up += 1;
+            }
+            !gone
+        });
+    }
+
+    /// What comes to this node of each class, a second, those included that wait for a turn.
+    pub fn demand(&self) -> BTreeMap<Class, f64> {
+        let mut waiting = vec![0; self.buckets.len()];
+        for turn in self.turns.values().filter(|turn| turn.own) {
+            waiting[turn.class] += 1;
+        }
+        let each = self.names.iter().zip(&self.buckets).zip(waiting);
+        each.map(|((name, bucket), waiting)| {
+            (name.clone(), bucket.demand + f64::from(waiting) / WINDOW_S)
+        })
+        .filter(|(_, demand)| *demand > 0.01)
+        .collect()
+    }
+
+    pub fn counts(&self) -> impl Iterator<Item = (&Class, Counts)> {
+        let counts = self.buckets.iter().map(|bucket| bucket.counts);
+        self.names.iter().zip(counts)
+    }
+
+    /// The turns that come next, for the members: job, class, and in how many milliseconds.
+    pub fn turns(&self, now: Millis) -> Vec<(JobId, Class, u64)> {
+        let mut turns: Vec<(Millis, JobId, usize)> = self
+            .turns
+            .iter()
+            .filter(|(_, turn)| turn.own && turn.at > now)
+            .map(|(job, turn)| (turn.at, *job, turn.class))
+            .collect();
+        turns.sort_unstable();
+        turns.truncate(TOLD);
+        let turns = turns.into_iter();
+        turns
+            .map(|(at, job, class)| (job, self.names[class].clone(), at - now))
+            .collect()
+    }
+
+    /// Turns that another member has given.
+    pub fn heard_turns(&mut self, turns: &[(JobId, Class, u64)], now: Millis) {
+        for (job, class, in_ms) in turns {
+            if self.turns.contains_key(job) || *in_ms > TRIES {
+                continue;
+            }
+            let class = self.class(class);
+            let at = now + in_ms;
+            // Not in the queue: it may come back to any node, and newcomers need not wait for it here.
+            let own = false;
+            self.turns.insert(*job, Turn { class, at, own });
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn class(name: &str) -> Class {
+        Class {
+            team: "red".into(),
+            class: name.into(),
+        }
+    }
+
+    /// A door that lets in `flood` and `calm` submissions a second of two classes, and `rest` of any.
+    fn door(flood: f64, calm: f64, rest: f64) -> (Door, Parts) {
+        let parts = Parts {
+            classes: BTreeMap::from([(class("flood"), flood), (class("calm"), calm)]),
+            rest,
+        };
+        let mut door = Door::default();
+        door.fill(&parts, 1);
+        (door, parts)
+    }
+
+    /// Users of one class that come a number of times a second and do as they are told; when each was let in.
+    fn crowd(door: &mut Door, parts: &Parts, rate: u64, seconds: u64) -> Crowd {
+        let mut crowd = Crowd::default();
+        let mut back: BTreeSet<(Millis, u64)> = BTreeSet::new();
+        let mut next = 0;
+        for now in (1000..(seconds + 70) * 1000).step_by(20) {
+            door.fill(parts, now);
+            door.look(now);
+            let mut knocks: Vec<(u64, bool)> = Vec::new();
+            while let Some(&(at, job)) = back.first().filter(|(at, _)| *at <= now) {
+                back.remove(&(at, job));
+                knocks.push((job, true));
+            }
+            if now < seconds * 1000 {
+                let due = (now - 1000) * rate / 1000;
+                knocks.extend((next..due).map(|job| (job, false)));
+                next = next.max(due);
+            }
+            for (job, again) in knocks {
+                let came = crowd.came.entry(job).or_insert(now);
+                match door.knock(&class("flood"), JobId(job), now) {
+                    Knock::In { .. } => {
+                        crowd.waits.push(now - *came);
+                        crowd.let_in.push(now);
+                        door.accepted(JobId(job), true, now);
+                    }
+                    Knock::Away { after_s, turn } => {
+                        crowd.again += usize::from(again && turn);
+                        crowd.away.push(now);
+                        let at = now + Millis::from(after_s) * 1000;
+                        if at < *came + TRIES {
+                            back.insert((at, job));
+                        }
+                    }
+                }
+            }
+        }
+        crowd
+    }
+
+    #[derive(Default)]
+    struct Crowd {
+        came: HashMap<u64, Millis>,
+        let_in: Vec<Millis>,
+        waits: Vec<Millis>,
+        away: Vec<Millis>,
+        /// Sent away although they came back when they were told to.
+        again: usize,
+    }
+
+    #[test]
+    fn a_flood_is_let_in_at_its_rate_and_turns_are_kept() {
+        let (mut door, parts) = door(10.0, 1.0, 0.5);
+        let crowd = crowd(&mut door, &parts, 30, 20);
+        let rate = crowd
+            .let_in
+            .iter()
+            .filter(|at| (20_000..50_000).contains(*at))
+            .count();
+        assert!((270..=360).contains(&rate), "{rate} in 30 s");
+        let longest = crowd.waits.iter().max().copied().unwrap_or(0);
+        assert!(longest <= TRIES, "{longest}");
+        // A turn of more than 30 s is told in two.
+        assert!(
+            crowd.again * 4 <= crowd.came.len(),
+            "{} of {}",
+            crowd.again,
+            crowd.came.len()
+        );
+        assert!(
+            crowd.let_in.len() * 10 >= crowd.came.len() * 9,
+            "600 in 60 s fit"
+        );
+    }
+
+    #[test]
+    fn a_flood_of_one_class_takes_nothing_that_another_asks_for() {
+        let (mut door, _) = door(10.0, 1.0, 0.5);
+        for job in 0..5000 {
+            door.knock(&class("flood"), JobId(job), 1000);
+        }
+        let calm = door.knock(&class("calm"), JobId(9000), 1000);
+        assert_eq!(calm, Knock::In { within: true });
+        // Those that can have no turn within their minute are told so at once.
+        let late = door.knock(&class("flood"), JobId(9001), 1000);
+        assert!(matches!(late, Knock::Away { turn: false, .. }), "{late:?}");
+    }
+
+    /// Returns don't come together, and those told to come back go before newcomers.
+    #[test]
+    fn who_comes_back_in_time_goes_before_newcomers() {
+        let (mut door, parts) = door(2.0, 1.0, 0.0);
+        let now = 10_000;
+        door.fill(&parts, now);
+        let mut told = Vec::new();
+        for job in 0..40 {
+            if let Knock::Away {
+                after_s,
+                turn: true,
+            } = door.knock(&class("flood"), JobId(job), now)
+            {
+                told.push((after_s, job));
+            }
+        }
+        for second in 1..10 {
+            let together = told.iter().filter(|(after, _)| *after == second).count();
+            assert!(together <= 3, "{together} in second {second}");
+        }
+        let (after_s, first) = told[0];
+        let then = now + Millis::from(after_s) * 1000;
+        door.fill(&parts, then);
+        door.look(then);
+        for job in 100..110 {
+            let newcomer = door.knock(&class("flood"), JobId(job), then);
+            assert!(matches!(newcomer, Knock::Away { .. }), "{newcomer:?}");
+        }
+        let back = door.knock(&class("flood"), JobId(first), then);
+        assert_eq!(back, Knock::In { within: true });
+    }
+
+    /// The load balancer leads him to another node.
+    #[test]
+    fn a_turn_counts_at_every_node() {
+        let (mut one, parts) = door(2.0, 1.0, 0.0);
+        let (mut other, _) = door(2.0, 1.0, 0.0);
+        for job in 0..30 {
+            one.knock(&class("flood"), JobId(job), 1000);
+            other.knock(&class("flood"), JobId(1000 + job), 1000);
+        }
+        let turns = one.turns(1000);
+        let (job, _, in_ms) = turns[0].clone();
+        other.heard_turns(&turns, 1000);
+        let then = 1000 + in_ms;
+        other.fill(&parts, then);
+        assert_eq!(
+            other.knock(&class("flood"), job, then),
+            Knock::In { within: true }
+        );
+    }
+
+    #[test]
+    fn within_ten_seconds_of_a_floods_end_nobody_is_sent_away() {
+        let (mut door, parts) = door(10.0, 1.0, 2.0);
+        let crowd = crowd(&mut door, &parts, 16, 10);
+        let last = crowd.away.iter().max().copied().unwrap_or(0);
+        assert!(last <= 20_000, "{last}");
+        assert_eq!(crowd.let_in.len(), crowd.came.len());
+    }
+
+    #[test]
+    fn who_was_sent_away_and_never_came_back_has_given_up() {
+        let (mut door, _) = door(1.0, 1.0, 0.0);
+        for job in 0..20 {
+            door.knock(&class("flood"), JobId(job), 1000);
+        }
+        door.look(1000 + GIVEN_UP);
+        let flood = door.counts().find(|(name, _)| name.class == "flood");
+        let counts = flood.expect("it came").1;
+        assert_eq!(counts.came, 20);
+        assert!(counts.given_up >= 14, "{counts:?}");
+    }
+}
--- /dev/null
+++ b/src/coordination/admission/table.rs
@@ -0,0 +1,487 @@
+//! The agreed table: how many submissions a second each node may let in, for each class of each team.
+//!
+//! The leader splits the whole by what the nodes say comes to them, weighted max-min fair over classes, and
+//! stores it under its term. A node that reads a table gives up at once what that takes from it, and takes what
+//! it adds only once the table is [`SETTLED`] old. Tables are stored at least that far apart, and a node that has
+//! not heard from the state service for as long has gone back to its floor, which no table takes from it. So at
+//! any moment every node follows at most what one and the same table gives it, the sum never exceeds that
+//! table's whole, and nobody has to ask who has read what.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::bookkeeping::Millis;
+
+/// How old a table has to be before what it adds is taken, in milliseconds. Tables are stored further apart.
+pub const SETTLED: Millis = 5000;
+/// A node without news for this long goes on with half of its part, and after [`LAPSED`] with its floor.
+pub const UNSURE: Millis = 3000;
+/// Shorter than [`SETTLED`] by what steady clocks may drift apart and an answer may take.
+pub const LAPSED: Millis = 4800;
+/// The least part of what a node takes by the state service's limits that it is given while its processor can't
+/// follow, and the part of that which is its floor.
+const LEAST: f64 = 0.25;
+const FLOOR: f64 = 0.5;
+/// Steps in which the whole is handed out.
+const STEPS: usize = 128;
+
+/// A class of a team, by their names.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Class {
+    pub team: String,
+    pub class: String,
+}
+
+/// What the leader stores. Rates are submissions a second.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Table {
+    /// Rises with each table.
+    pub seq: u64,
+    /// The term under which it was stored.
+    pub term: u64,
+    /// What all nodes together may let in.
+    pub whole: f64,
+    pub nodes: Vec<String>,
+    /// For each class that is named: the part of each node.
+    pub classes: Vec<(Class, Vec<f64>)>,
+    /// What each node has besides, for whoever comes.
+    pub rest: Vec<f64>,
+}
+
+impl Table {
+    /// Whether any part differs by more than `worth` of its node's whole.
+    pub fn differs(&self, other: &Table, worth: f64) -> bool {
+        if self.nodes != other.nodes {
+            return true;
+        }
+        self.nodes.iter().any(|node| {
+            let (Some((ours, rest)), Some((theirs, other_rest))) = (self.of(node), other.of(node))
+            else {
+                return true;
+            };
+            let whole = ours.values().sum::<f64>() + rest;
+            let far = |a: f64, b: f64| (a - b).abs() > worth * whole;
+            let named = ours.keys().chain(theirs.keys());
+            far(rest, other_rest)
+                || named.into_iter().any(|class| {
+                    let part =
+                        |parts: &BTreeMap<&Class, f64>| parts.get(class).copied().unwrap_or(0.0);
+                    far(part(&ours), part(&theirs))
+                })
+        })
+    }
+
+    /// A node's parts, by class, and what it has besides.
+    pub fn of(&self, node: &str) -> Option<(BTreeMap<&Class, f64>, f64)> {
+        let at = self.nodes.iter().position(|label| label == node)?;
+        let part = |parts: &[f64]| parts.get(at).copied().unwrap_or(0.0).max(0.0);
+        let classes = self
+            .classes
+            .iter()
+            .map(|(class, parts)| (class, part(parts)))
+            .collect();
+        Some((classes, part(&self.rest)))
+    }
+}
+
+/// What a node can take, in submissions a second, and what comes to it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Demand {
+    /// By its part of the state service's limits.
+    pub takes: f64,
+    /// By class: those that come for the first time, and those that wait for a turn, spread over some seconds.
+    pub classes: BTreeMap<Class, f64>,
+    /// The part of its time in which its processor could not follow, from 0 to 1.
+    pub late: f64,
+}
+
+impl Demand {
+    /// What it can take with the processor that it has: never nothing.
+    fn ready(&self) -> f64 {
+        self.takes * (1.0 - self.late).clamp(LEAST, 1.0)
+    }
+}
+
+/// What a node keeps whatever it has missed, of what the node takes that takes least.
+pub fn floor(takes_least: f64) -> f64 {
+    takes_least * LEAST * FLOOR
+}
+
+/// Splits what the nodes take over classes, equally by what each still wants, and each class's part over the nodes
+/// where it comes, first where least else does. Each node keeps its `floor`; what nobody asked for is for whoever comes.
+pub fn split(
+    demands: &BTreeMap<String, Demand>,
+    floor: f64,
+    (seq, term): (u64, u64),
+    most_classes: usize,
+) -> Table {
+    let ready: Vec<f64> = demands
+        .values()
+        .map(|demand| demand.ready().max(floor))
+        .collect();
+    let mut free: Vec<f64> = ready.iter().map(|ready| ready - floor).collect();
+    let mut wants: BTreeMap<&Class, Vec<f64>> = BTreeMap::new();
+    for (node, demand) in demands.values().enumerate() {
+        for (class, rate) in &demand.classes {
+            let wants = wants.entry(class).or_insert_with(|| vec![0.0; free.len()]);
+            wants[node] += rate.max(0.0);
+        }
+    }
+    // A value holds so many: those that least is asked for share the rest.
+    let mut named: Vec<(&Class, Vec<f64>)> = wants.into_iter().collect();
+    named.sort_by(|a, b| sum(&b.1).total_cmp(&sum(&a.1)).then(a.0.cmp(b.0)));
+    named.truncate(most_classes);
+    let mut parts = vec![vec![0.0; free.len()]; named.len()];
+    let step = sum(&free) / STEPS as f64;
+    let mut open: Vec<usize> = (0..named.len()).collect();
+    // The class that has least and still wants something gets the next step.
+    while let Some(&class) = open
+        .iter()
+        .min_by(|a, b| sum(&parts[**a]).total_cmp(&sum(&parts[**b])).then(a.cmp(b)))
+    {
+        // There where least is asked for next to what is left: others may come to one node only.
+        let crowd = |node: usize| {
+            let unmet = named
+                .iter()
+                .zip(&parts)
+                .map(|((_, wants), got)| wants[node] - got[node]);
+            unmet.sum::<f64>() / free[node].max(1e-9)
+        };
+        let open_at = |node: &usize| {
+            free[*node] > step * 1e-3 && named[class].1[*node] - parts[class][*node] > step * 1e-3
+        };
+        let node = (0..free.len())
+            .filter(open_at)
+            .min_by(|a, b| crowd(*a).total_cmp(&crowd(*b)));
+        let Some(node) = node else {
+            open.retain(|other| *other != class);
+            continue;
+        };
+        let part = step
+            .min(free[node])
+            .min(named[class].1[node] - parts[class][node]);
+        parts[class][node] += part;
+        free[node] -= part;
+    }
+    Table {
+        seq,
+        term,
+        whole: sum(&ready),
+        nodes: demands.keys().cloned().collect(),
+        classes: named
+            .into_iter()
+            .zip(parts)
+            .map(|((class, _), parts)| (class.clone(), parts.into_iter().map(rounded).collect()))
+            .collect(),
+        rest: free.into_iter().map(|free| rounded(floor + free)).collect(),
+    }
+}
+
+fn sum(rates: &[f64]) -> f64 {
+    rates.iter().sum()
+}
+
+/// Down to thousandths: shorter in the store, and no sum grows by it.
+fn rounded(rate: f64) -> f64 {
+    (rate * 1000.0).floor().max(0.0) / 1000.0
+}
+
+/// What a node follows: the tables that it has read, and since when it has heard nothing.
+#[derive(Clone, Debug, Default)]
+pub struct Following {
+    /// The newest table.
+    table: Option<Table>,
+    /// What it followed before, where the newest does not count in full yet.
+    before: Option<Before>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Before {
+    /// In submissions a second.
+    whole: f64,
+    /// When the newest table has been known for long enough.
+    until: Millis,
+}
+
+/// A node's parts at a moment, in submissions a second.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Parts {
+    pub classes: BTreeMap<Class, f64>,
+    /// For whoever comes.
+    pub rest: f64,
+}
+
+impl Parts {
+    pub fn whole(&self) -> f64 {
+        self.classes.values().sum::<f64>() + self.rest
+    }
+}
+
+impl Following {
+    pub fn seq(&self) -> u64 {
+        self.table.as_ref().map_or(0, |table| table.seq)
+    }
+
+    /// A newer table has been read. `parts`: what the node follows at this moment.
+    ///
+    /// How old the table is counts from now, not from when it was written: its write may have been applied late.
+    pub fn read(&mut self, table: Table, parts: Parts, now: Millis) {
+        if table.seq <= self.seq() {
+            return;
+        }
+        self.before = Some(Before {
+            whole: parts.whole(),
+            until: now + SETTLED,
+        });
+        self.table = Some(table);
+    }
+
+    /// What `node` may let in now. `synced`: when the last sync that succeeded was sent; `equal`: the node's part
+    /// where no table was ever read.
+    pub fn parts(
+        &self,
+        node: &str,
+        (equal, floor): (f64, f64),
+        synced: Option<Millis>,
+        now: Millis,
+    ) -> Parts {
+        let only = |rest| Parts {
+            classes: BTreeMap::new(),
+            rest,
+        };
+        let age = synced.map(|at| now.saturating_sub(at));
+        let Some(age) = age.filter(|age| *age < LAPSED) else {
+            return only(floor);
+        };
+        let mut parts = match &self.table {
+            None => only(equal),
+            Some(table) => match table.of(node) {
+                Some((classes, rest)) => Parts {
+                    classes: classes
+                        .into_iter()
+                        .map(|(class, part)| (class.clone(), part))
+                        .collect(),
+                    rest,
+                },
+                None => return only(floor),
+            },
+        };
+        // What the table adds may still be another node's.
+        let before = self.before.as_ref().filter(|before| now < before.until);
+        if let Some(before) = before
+            && parts.whole() > before.whole
+        {
+            parts.scale(before.whole / parts.whole());
+        }
+        if age >= UNSURE {
+            parts.scale(0.5);
+        }
+        if parts.whole() < floor {
+            return only(floor);
+        }
+        parts
+    }
+}
+
+impl Parts {
+    fn scale(&mut self, by: f64) {
+        self.classes.values_mut().for_each(|part| *part *= by);
+        self.rest *= by;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use rand::{Rng, SeedableRng, rngs::StdRng};
+
+    use super::*;
+
+    fn class(name: &str) -> Class {
+        Class {
+            team: "red".into(),
+            class: name.into(),
+        }
+    }
+
+    /// A node, what it takes, and what comes to it.
+    type Asked<'a> = (&'a str, f64, &'a [(&'a str, f64)]);
+
+    fn demands(of: &[Asked]) -> BTreeMap<String, Demand> {
+        let demand = |takes, classes: &[(&str, f64)]| Demand {
+            takes,
+            classes: classes
+                .iter()
+                .map(|(name, rate)| (class(name), *rate))
+                .collect(),
+            late: 0.0,
+        };
+        of.iter()
+            .map(|(node, takes, classes)| (node.to_string(), demand(*takes, classes)))
+            .collect()
+    }
+
+    fn rates(table: &Table, name: &str) -> f64 {
+        let found = table.classes.iter().find(|(each, _)| *each == class(name));
+        found.map_or(0.0, |(_, parts)| sum(parts))
+    }
+
+    /// One class comes fifty times as often, over one node.
+    #[test]
+    fn a_flood_leaves_the_others_what_they_ask_for() {
+        let flood = [("flood", 200.0), ("calm", 1.0)];
+        let asked = demands(&[
+            ("n0", 20.0, &flood),
+            ("n1", 20.0, &[("calm", 2.0)]),
+            ("n2", 20.0, &[]),
+        ]);
+        let table = split(&asked, floor(20.0), (1, 7), 10);
+        assert!(rates(&table, "calm") > 2.9, "{table:?}");
+        assert!(rates(&table, "flood") > 15.0, "{table:?}");
+        assert!(
+            table.rest[2] > 19.0,
+            "what nobody asks for is for whoever comes"
+        );
+    }
+
+    #[test]
+    fn equal_floods_get_equal_parts_and_nodes_that_are_late_less() {
+        let mut asked = demands(&[
+            ("n0", 20.0, &[("one", 90.0), ("two", 40.0)]),
+            ("n1", 20.0, &[("two", 50.0)]),
+        ]);
+        let before = split(&asked, floor(20.0), (1, 7), 10);
+        let (one, two) = (rates(&before, "one"), rates(&before, "two"));
+        assert!((one - two).abs() < 1.0, "{one} {two}");
+        asked.get_mut("n0").expect("it is there").late = 0.5;
+        let after = split(&asked, floor(20.0), (2, 7), 10);
+        let of = |table: &Table, node: &str| {
+            let (classes, rest) = table.of(node).expect("it is there");
+            classes.values().sum::<f64>() + rest
+        };
+        assert!(of(&after, "n0") <= 10.0 && of(&after, "n1") > 19.0);
+        assert!(after.whole < before.whole);
+    }
+
+    /// Any demands: no node gets more than it takes, each its floor, and nothing is left while somebody wants it.
+    #[test]
+    fn a_split_hands_out_what_there_is_and_no_more() {
+        for seed in 0..200 {
+            let mut rng = StdRng::seed_from_u64(seed);
+            let mut asked = BTreeMap::new();
+            for node in 0..rng.random_range(1..7) {
+                let takes = rng.random_range(5.0..80.0);
+                let classes = (0..rng.random_range(0..12))
+                    .map(|number| (class(&format!("c{number}")), rng.random_range(0.0..60.0)))
+                    .collect();
+                let late = if rng.random_bool(0.3) {
+                    rng.random()
+                } else {
+                    0.0
+                };
+                let demand = Demand {
+                    takes,
+                    classes,
+                    late,
+                };
+                asked.insert(format!("n{node}"), demand);
+            }
+            let least = asked
+                .values()
+                .map(|demand| demand.takes)
+                .fold(f64::INFINITY, f64::min);
+            let floor = floor(least);
+            let table = split(&asked, floor, (1, 1), rng.random_range(1..14));
+            let mut whole = 0.0;
+            for (node, demand) in &asked {
+                let (classes, rest) = table.of(node).expect("each node has a part");
+                let part = classes.values().sum::<f64>() + rest;
+                assert!(part <= demand.takes + 1e-6, "seed {seed}");
+                assert!(rest + 0.01 >= floor, "seed {seed}");
+                whole += part;
+            }
+            assert!(whole <= table.whole + 1e-6, "seed {seed}");
+            assert!(
+                whole > table.whole * 0.99 - 1.0,
+                "seed {seed}: {whole} of {}",
+                table.whole
+            );
+        }
+    }
+
+    /// Three nodes that miss syncs and tables for any time, leaders that change, writes that are applied late: at
+    /// no moment do they follow more than a whole that was agreed on.
+    #[test]
+    fn whatever_a_node_has_missed_the_sum_stays_within_the_whole() {
+        const TAKES: f64 = 20.0;
+        for seed in 0..300 {
+            let mut rng = StdRng::seed_from_u64(seed);
+            let names = ["n0", "n1", "n2"];
+            let floor = floor(TAKES);
+            let mut stored: Option<Table> = None;
+            let mut nodes = vec![(Following::default(), None::<Millis>); 3];
+            let mut cut = [0; 3];
+            // When a leader may store the next: a successor counts from its takeover, which it may think later.
+            let mut next = rng.random_range(0..6000);
+            for now in (0..120_000).step_by(100) {
+                if now >= next {
+                    let asked: BTreeMap<String, Demand> = names
+                        .iter()
+                        .map(|name| {
+                            let classes = [
+                                ("a", rng.random_range(0.0..80.0)),
+                                ("b", rng.random_range(0.0..9.0)),
+                            ];
+                            let classes =
+                                classes.into_iter().map(|(name, rate)| (class(name), rate));
+                            let late = if rng.random_bool(0.3) {
+                                rng.random()
+                            } else {
+                                0.0
+                            };
+                            let demand = Demand {
+                                takes: TAKES,
+                                classes: classes.collect(),
+                                late,
+                            };
+                            (name.to_string(), demand)
+                        })
+                        .collect();
+                    let seq = stored.as_ref().map_or(1, |table| table.seq + 1);
+                    stored = Some(split(&asked, floor, (seq, 1), 9));
+                    next = now + SETTLED + rng.random_range(0..9000);
+                }
+                let mut sum = 0.0;
+                for (at, (following, synced)) in nodes.iter_mut().enumerate() {
+                    if rng.random_bool(0.004) {
+                        cut[at] = now + rng.random_range(0..20_000);
+                    }
+                    if rng.random_bool(0.002) {
+                        // A new process.
+                        (*following, *synced) = (Following::default(), None);
+                    }
+                    if cut[at] <= now && rng.random_bool(0.1) {
+                        let parts = following.parts(names[at], (TAKES, floor), *synced, now);
+                        // A sync tells of what was stored when it was sent or later.
+                        if let Some(table) = &stored {
+                            following.read(table.clone(), parts, now);
+                        }
+                        *synced = Some(now);
+                    }
+                    sum += following
+                        .parts(names[at], (TAKES, floor), *synced, now)
+                        .whole();
+                }
+                assert!(sum <= 3.0 * TAKES + 1e-6, "seed {seed} at {now}: {sum}");
+                if let Some(table) = &stored
+                    && now + 1 >= next.saturating_sub(1)
+                {
+                    assert!(
+                        sum <= table.whole + 1e-6 || sum <= 3.0 * TAKES,
+                        "seed {seed}"
+                    );
+                }
+            }
+        }
+    }
+}
--- a/src/coordination/deputy.rs
+++ b/src/coordination/deputy.rs
@@ -503,6 +503,7 @@
             term,
             leader: "n2".into(),
             jobs: Vec::new(),
+            turns: Vec::new(),
         };
         node.heard_progress(told(2));
         assert_eq!(node.other_leader(), None, "an old one");
--- a/src/coordination/directory.rs
+++ b/src/coordination/directory.rs
@@ -11,7 +11,7 @@
 
 use serde_json::Value;
 
-use super::{Node, StateTag, users::Pending};
+use super::{Node, StateTag, admission::Table, users::Pending};
 use crate::{
     bookkeeping::{
         Millis,
@@ -106,6 +106,8 @@
     pub term: u64,
     pub term_version: u64,
     pub types: Option<(MachineTypes, u64)>,
+    /// The agreed table of what the nodes may let in, and the version of its key.
+    pub table: Option<(Table, u64)>,
     /// Where they are kept under several keys: by the number of those, and which one it is.
     types_parts: BTreeMap<(u32, u32), Vec<MachineType>>,
     /// Nodes that may renew workers' leases, with the version of their keys.
@@ -120,6 +122,7 @@
     Leader,
     Term,
     Types,
+    Table,
     /// A deputy's key is gone.
     DeputyGone(String),
     Nothing,
@@ -235,6 +238,19 @@
                 }
                 Change::Term
             }
+            store::TABLE => {
+                if self
+                    .table
+                    .as_ref()
+                    .is_some_and(|(_, known)| *known >= version)
+                {
+                    return Change::Nothing;
+                }
+                if let Ok(table) = serde_json::from_value(value) {
+                    self.table = Some((table, version));
+                }
+                Change::Table
+            }
             store::TYPES => {
                 self.types = serde_json::from_value(value)
                     .ok()
@@ -680,7 +696,13 @@
     /// Lets the rest of the node follow a change.
     pub(super) fn changed(&mut self, change: Change) {
         match change {
-            Change::Jobs(jobs) => jobs.into_iter().for_each(|id| self.job_changed(id)),
+            Change::Jobs(jobs) => {
+                for id in jobs {
+                    self.admission.accepted(id, false, self.now);
+                    self.job_changed(id);
+                }
+            }
+            Change::Table => self.table_read(),
             Change::Leader => self.leader_changed(),
             Change::Term => self.term_changed(),
             Change::Types => {
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -701,6 +701,7 @@
             term: leading.term,
             leader: self.config.label.clone(),
             jobs,
+            turns: self.admission.turns(self.now),
         }));
     }
 }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -3,6 +3,7 @@
 //! [`Node::step`] takes a batch of commands and the time and returns what is to be done. It does
 //! no I/O, reads no clock and draws no random numbers, so that a history can be played again.
 
+pub mod admission;
 mod deputy;
 mod directory;
 mod fleet;
@@ -11,6 +12,7 @@
 mod pipelines;
 mod reach;
 mod renting;
+pub mod shares;
 mod status;
 mod takeover;
 mod times;
@@ -19,6 +21,7 @@
 
 use std::collections::HashMap;
 
+pub use admission::{Class, Counts, News, TurnTold};
 pub use directory::Directory;
 pub use leader::Leading;
 pub use status::Status;
@@ -102,6 +105,8 @@
     /// The label of the node that leads.
     pub leader: String,
     pub jobs: Vec<JobProgress>,
+    /// Turns that nodes have given to users who were sent away.
+    pub turns: Vec<TurnTold>,
 }
 
 /// Machines that the leader has not heard of for long: it wants to know that nobody keeps them
@@ -158,6 +163,8 @@
         result: Option<WorkerReply>,
     },
     Progress(Progress),
+    /// What a member says of itself when it is told how far jobs are.
+    News(Box<News>),
     /// The leader asks what this node has renewed, and that it renew these no more.
     Revoke(AskId, Revocation),
     /// A member's answer to that; `None`: no answer.
@@ -193,6 +200,8 @@
         timeout_ms: u64,
     },
     Tell(Progress),
+    /// What this node says of itself to the leader when that next tells it something.
+    Publish(Box<News>),
     Revoke {
         lease: u64,
         label: String,
@@ -266,6 +275,9 @@
     },
     Types,
     Images,
+    Table {
+        lease: u64,
+    },
     DeputyGrant,
     DeputyPut {
         lease: u64,
@@ -328,6 +340,7 @@
     times: times::Times,
     leading: Option<Box<Leading>>,
     progress: HashMap<JobId, JobProgress>,
+    admission: admission::Admission,
 }
 
 impl Node {
@@ -355,6 +368,7 @@
             deputy: deputy::Deputy::default(),
             leading: None,
             progress: HashMap::new(),
+            admission: admission::Admission::default(),
         }
     }
 
@@ -370,6 +384,10 @@
         if self.now + LATE < now.steady {
             tracing::debug!(for_ms = now.steady - self.now, "late");
         }
+        if self.now > 0 {
+            self.admission
+                .passed(now.steady.saturating_sub(self.now), LATE);
+        }
         self.now = self.now.max(now.steady);
         self.wall = now.wall;
         for command in commands {
@@ -391,6 +409,7 @@
             Command::Cloud { tag, result } => self.cloud_answered(tag, result),
             Command::Worker { tag, result } => self.worker_answered(tag, result),
             Command::Progress(progress) => self.heard_progress(progress),
+            Command::News(news) => self.news_heard(*news),
             Command::Revoke(id, revocation) => self.revoke(id, revocation),
             Command::Revoked {
                 lease,
@@ -430,6 +449,7 @@
             StateTag::Sweep { lease } => self.swept(lease, result),
             StateTag::Ends { lease } => self.ends_stored(lease, result),
             StateTag::Types | StateTag::Images => {}
+            StateTag::Table { lease } => self.table_stored(lease, result),
             StateTag::DeputyGrant => self.deputy_granted(sent_at, result),
             StateTag::DeputyPut { lease } => self.deputy_put(lease, result),
             StateTag::DeputyTouch { lease } => self.deputy_touched(lease, sent_at, result),
@@ -443,6 +463,7 @@
         self.keep_deputy();
         self.campaign();
         self.lead();
+        self.keep_admission();
     }
 
     fn state(&mut self, tag: StateTag, request: StateRequest, urgency: Urgency, timeout_ms: u64) {
--- a/src/coordination/status.rs
+++ b/src/coordination/status.rs
@@ -1,8 +1,8 @@
 //! What a node says of itself to whoever watches it.
 
-use super::{Node, directory::LiveJob};
+use super::{Class, Counts, Node, directory::LiveJob};
 use crate::{
-    bookkeeping::{Millis, books::MachineState},
+    bookkeeping::{Millis, books::MachineState, dues::Standing},
     protocol::ids::JobId,
 };
 
@@ -23,6 +23,15 @@
     pub machines: Vec<(&'static str, usize)>,
     /// Tasks whose last change is not stored yet.
     pub unwritten: usize,
+    /// How submissions of each class fare at this node.
+    pub submissions: Vec<(Class, Counts)>,
+    /// The admission table that this node follows, and what it may let in by it, a second.
+    pub table: u64,
+    pub part: f64,
+    /// The part of its time in which the processor could not follow.
+    pub late: f64,
+    /// On the leader: how each class of each team is served.
+    pub classes: Vec<(Class, Standing)>,
     /// What the tasks that started since the last look had waited for.
     pub start_waits: Vec<Millis>,
 }
@@ -36,6 +45,10 @@
             ends_unwritten: self.directory.doomed().count(),
             term: self.directory.term,
             entitlement_ms: until.saturating_sub(self.now),
+            submissions: self.served_here(),
+            table: self.admission.seq(),
+            part: self.parts().whole(),
+            late: self.admission.late(),
             ..Status::default()
         };
         let Some(leading) = &mut self.leading else {
@@ -56,6 +69,7 @@
                 (team.name.clone(), waiting, books.units(&team.booked))
             })
             .collect();
+        status.classes = books.named_standings();
         let states = [
             ("booting", MachineState::Booting),
             ("up", MachineState::Up),
--- a/src/coordination/users.rs
+++ b/src/coordination/users.rs
@@ -1,8 +1,10 @@
 //! Users' requests. Any node takes them: what counts is the job's key in the state service.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 
-use super::{Answer, Ask, AskId, Effect, Node, Progress, StateTag, directory::Entry};
+use super::{
+    Answer, Ask, AskId, Effect, Node, Progress, StateTag, admission::order::Rank, directory::Entry,
+};
 use crate::{
     bookkeeping::{
         Millis,
@@ -42,7 +44,7 @@
 #[derive(Default)]
 pub struct Relay {
     /// Sent on, and not answered yet.
-    sent: HashSet<AskId>,
+    sent: HashMap<AskId, JobId>,
     /// Sent here by a member: not sent on again.
     received: HashSet<AskId>,
     /// The members could not answer either.
@@ -99,7 +101,12 @@
                     Verdict::Unknown => self.answer(id, Answer::later("starting", 1)),
                 },
             },
-            Ask::Poll(job) => self.read(id, Pending::Poll(job)),
+            Ask::Poll(job) => {
+                let rank = self.rank_of_poll(job);
+                if rank.is_none_or(|rank| self.bears(id, rank)) {
+                    self.read(id, Pending::Poll(job));
+                }
+            }
             Ask::Cancel(job) => self.read(id, Pending::Cancel { id: job, tries: 0 }),
             Ask::CheckIn(_) | Ask::Ready | Ask::Relayed(_) => {
                 self.answer(id, Answer::error(400, "not a user's request"))
@@ -107,6 +114,17 @@
         }
     }
 
+    /// `None`: it is answered from memory, which costs nothing worth saving.
+    fn rank_of_poll(&self, job: JobId) -> Option<Rank> {
+        let entry = self.directory.get(job);
+        if entry.and_then(Entry::ended).is_some() {
+            return None;
+        }
+        let view = self.view(job);
+        let idle = entry.is_some() && view.running == 0 && view.done == 0;
+        Some(if idle { Rank::IdlePoll } else { Rank::Poll })
+    }
+
     /// Final states are answered from memory, everything else after a sync. A cancellation of a
     /// job that is known to be live goes straight to its key, which decides.
     fn read(&mut self, id: AskId, pending: Pending) {
@@ -148,7 +166,7 @@
                 self.state(
                     StateTag::Cancel(id),
                     StateRequest::Txn(txn),
-                    Urgency::Prompt,
+                    Rank::Cancellation.urgency(),
                     TXN_TIMEOUT,
                 );
             }
@@ -173,18 +191,19 @@
             .members
             .iter()
             .min_by_key(|member| Some(&member.label) != leader.as_ref());
+        let job = pending.job();
         let Some(member) = member else {
-            return self.answer(id, out_of_reach());
+            return self.give_up(id, job);
         };
         if self.relay.received.contains(&id) || self.relay.after > self.now {
-            return self.answer(id, out_of_reach());
+            return self.give_up(id, job);
         }
         let ask = match pending {
             Pending::Poll(job) => Ask::Poll(job),
             Pending::Submit(submission) => Ask::Submit(submission),
             Pending::Cancel { id: job, .. } => Ask::Cancel(job),
         };
-        self.relay.sent.insert(id);
+        self.relay.sent.insert(id, job);
         self.out.push(Effect::Relay {
             id,
             label: member.label.clone(),
@@ -193,20 +212,36 @@
     }
 
     pub(super) fn relayed(&mut self, id: AskId, answer: Option<Answer>) {
-        if !self.relay.sent.remove(&id) {
+        let Some(job) = self.relay.sent.remove(&id) else {
             return;
-        }
-        let answer = answer
-            .filter(|answer| answer.status < 500)
-            .unwrap_or_else(|| {
+        };
+        match answer.filter(|answer| answer.status < 500) {
+            Some(answer) => self.answer(id, answer),
+            None => {
                 self.relay.after = self.now + RELAY_AGAIN;
-                out_of_reach()
-            });
-        self.answer(id, answer);
+                self.give_up(id, job);
+            }
+        }
+    }
+
+    /// Nobody can answer now.
+    fn give_up(&mut self, id: AskId, job: JobId) {
+        self.admission.refused(job);
+        self.answer(id, out_of_reach());
     }
 
     /// `synced`: the view is as new as the request.
     fn accept(&mut self, id: AskId, submission: Box<Submission>, synced: bool) {
+        // What a member relays has been let in there.
+        let relayed = self.relay.received.contains(&id);
+        let rank = if relayed {
+            Rank::Within
+        } else {
+            match self.let_in(id, &submission) {
+                Some(rank) => rank,
+                None => return,
+            }
+        };
         let limits = &self.config.settings.state;
         let (record, texts) = store::live_record(self.wall, &submission, limits.value_bytes());
         let job = submission.id;
@@ -237,7 +272,7 @@
                 whole: texts.is_empty(),
             },
             StateRequest::Txn(txn),
-            Urgency::Prompt,
+            rank.urgency(),
             TXN_TIMEOUT,
         );
     }
@@ -256,8 +291,10 @@
                     return;
                 };
                 let job = submission.id;
-                tracing::info!(%job, class = submission.class, team = submission.team,
-                    tasks = submission.tasks, awaits = ?submission.awaits, due_s = submission.deadline_s,
+                self.admission.accepted(job, true, self.now);
+                tracing::info!(%job, kind = ?submission.kind, class = submission.class, team = submission.team,
+                    tasks = submission.tasks, cpus = submission.cpus, gpus = submission.gpus,
+                    estimate_s = submission.estimate_s, awaits = ?submission.awaits, due_s = submission.deadline_s,
                     "accepted");
                 let record = JobRecord::Live {
                     at_ms: self.wall,
@@ -403,6 +440,7 @@
             return;
         }
         self.deputy.leader_heard = Some(self.now);
+        self.admission.heard_turns(&progress.turns, self.now);
         self.heard_leader(progress.term, progress.leader);
         self.progress = progress
             .jobs
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -9,14 +9,16 @@
 
 use tokio::{
     net::TcpListener,
-    sync::{mpsc, oneshot},
+    sync::{mpsc, oneshot, watch},
     task::LocalSet,
     time::{Instant, MissedTickBehavior},
 };
 
 use crate::{
     config::Config,
-    coordination::{Answer, Ask, AskId, Command, Effect, Node, Now, Revocation, Word},
+    coordination::{
+        Answer, Ask, AskId, Command, Effect, News, Node, Now, Revocation, Word, shares,
+    },
     metrics::Metrics,
     protocol::{
         cloud::{CloudError, CloudRequest},
@@ -35,13 +37,6 @@
 const WATCHED: Duration = Duration::from_secs(1);
 /// Commands worked through at once.
 const BATCH: usize = 256;
-/// What is kept free of the services' limits, for clocks that differ.
-const HEADROOM: f64 = 0.92;
-/// The leader's shares. Followers write for users only, and ask the cloud for nothing but its
-/// machine types when they start.
-const STATE_SHARE: f64 = 0.5;
-const WRITE_SHARE: f64 = 0.6;
-const CLOUD_SHARE: f64 = 0.8;
 /// Parts of the sockets: for whoever asks this node, for calls to workers under way, and for connections
 /// to workers between them. The services, the mesh and what is just being closed live on the rest.
 const DOOR_SHARE: f64 = 0.65;
@@ -89,6 +84,7 @@
     tokio::spawn(serving);
     let mesh_addr = config.mesh_addr;
     let to_owner = commands.clone();
+    let (published, news) = watch::channel(News::default());
     tokio::spawn(async move {
         loop {
             if let Err(error) = mesh::serve(
@@ -96,6 +92,7 @@
                 to_owner.clone(),
                 questions.clone(),
                 relayed.clone(),
+                news.clone(),
             )
             .await
             {
@@ -104,7 +101,7 @@
             tokio::time::sleep(Duration::from_secs(1)).await;
         }
     });
-    let io = Rc::new(Io::new(&config, commands, metrics));
+    let io = Rc::new(Io::new(&config, commands, metrics, published));
     own(Node::new(config), io, queue, asked, questioned).await;
     Ok(())
 }
@@ -188,6 +185,8 @@
     writes: Bucket,
     cloud_requests: Bucket,
     limits: Limits,
+    /// What this node says of itself to whoever asks.
+    published: watch::Sender<News>,
 }
 
 struct Limits {
@@ -197,23 +196,13 @@
     cloud_rps: f64,
 }
 
-impl Limits {
-    /// A node's part of a service's limit, where the leader has `share` of it and the others have
-    /// equal parts of the rest.
-    fn part(&self, whole: f64, share: f64, leading: bool) -> f64 {
-        let others = (self.nodes - 1.0).max(1.0);
-        HEADROOM
-            * whole
-            * if leading || self.nodes <= 1.0 {
-                share
-            } else {
-                (1.0 - share) / others
-            }
-    }
-}
-
 impl Io {
-    fn new(config: &Config, owner: mpsc::UnboundedSender<Command>, metrics: Arc<Metrics>) -> Self {
+    fn new(
+        config: &Config,
+        owner: mpsc::UnboundedSender<Command>,
+        metrics: Arc<Metrics>,
+        published: watch::Sender<News>,
+    ) -> Self {
         let state = config.settings.state.strictest();
         let limits = Limits {
             nodes: config.members.len() as f64 + 1.0,
@@ -221,6 +210,7 @@
             write_rps: state.write_rps,
             cloud_rps: config.settings.cloud.rps,
         };
+        let shares = shares::of(limits.nodes, false);
         let sockets = f64::from(config.settings.limits.sockets);
         let addrs: HashMap<_, _> = config
             .members
@@ -240,10 +230,11 @@
             cloud: CloudClient::new(config.services.cloud),
             members: mesh::Members::new(addrs.values().copied()),
             addrs,
-            requests: Bucket::new(limits.part(limits.rps, STATE_SHARE, false)),
-            writes: Bucket::new(limits.part(limits.write_rps, WRITE_SHARE, false)),
-            cloud_requests: Bucket::new(limits.part(limits.cloud_rps, CLOUD_SHARE, false)),
+            requests: Bucket::new(limits.rps * shares.requests),
+            writes: Bucket::new(limits.write_rps * shares.writes),
+            cloud_requests: Bucket::new(limits.cloud_rps * shares.cloud),
             limits,
+            published,
         }
     }
 
@@ -292,10 +283,18 @@
                 });
             }
             Effect::Tell(progress) => {
-                for addr in self.addrs.values() {
-                    self.members.tell(*addr, &progress);
+                for addr in self.addrs.values().copied() {
+                    let (io, progress) = (self.clone(), progress.clone());
+                    tokio::task::spawn_local(async move {
+                        if let Some(news) = io.members.tell(addr, &progress).await {
+                            let _ = io.owner.send(Command::News(Box::new(news)));
+                        }
+                    });
                 }
             }
+            Effect::Publish(news) => {
+                self.published.send_replace(*news);
+            }
             Effect::Revoke {
                 lease,
                 label,
@@ -327,12 +326,11 @@
             }
             Effect::Leading(leading) => {
                 let limits = &self.limits;
-                self.requests
-                    .set_rate(limits.part(limits.rps, STATE_SHARE, leading));
-                self.writes
-                    .set_rate(limits.part(limits.write_rps, WRITE_SHARE, leading));
+                let shares = shares::of(limits.nodes, leading);
+                self.requests.set_rate(limits.rps * shares.requests);
+                self.writes.set_rate(limits.write_rps * shares.writes);
                 self.cloud_requests
-                    .set_rate(limits.part(limits.cloud_rps, CLOUD_SHARE, leading));
+                    .set_rate(limits.cloud_rps * shares.cloud);
             }
             Effect::Answer(..) | Effect::Revoked(..) => {}
         }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -33,6 +33,19 @@
     team: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Class {
+    team: String,
+    class: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Outcome {
+    team: String,
+    class: String,
+    outcome: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct State {
     state: &'static str,
@@ -76,6 +89,16 @@
     awaiting: Count,
     ends_unwritten: Count,
     start_waits: Histogram,
+    submissions: Family<Outcome, Count>,
+    table: Count,
+    part: Amount,
+    late: Amount,
+    class_waiting: Family<Class, Count>,
+    oldest: Family<Class, Amount>,
+    due: Family<Class, Amount>,
+    got: Family<Class, Amount>,
+    behind: Family<Class, Count>,
+    tasks: Family<Outcome, Count>,
 }
 
 impl Default for Metrics {
@@ -100,6 +123,16 @@
             awaiting: Count::default(),
             ends_unwritten: Count::default(),
             start_waits: Histogram::new(waits),
+            submissions: Family::default(),
+            table: Count::default(),
+            part: Amount::default(),
+            late: Amount::default(),
+            class_waiting: Family::default(),
+            oldest: Family::default(),
+            due: Family::default(),
+            got: Family::default(),
+            behind: Family::default(),
+            tasks: Family::default(),
         };
         metrics.register();
         metrics
@@ -162,6 +195,111 @@
             Unit::Seconds,
             self.start_waits.clone(),
         );
+        self.register_admission();
+    }
+
+    fn register_admission(&mut self) {
+        let all = &mut self.registry;
+        all.register(
+            "submissions",
+            "Submissions at this node since it began, by what became of them",
+            self.submissions.clone(),
+        );
+        all.register(
+            "admission_table",
+            "The admission table that this node follows",
+            self.table.clone(),
+        );
+        all.register(
+            "admission_part",
+            "Submissions a second that this node may let in now",
+            self.part.clone(),
+        );
+        all.register(
+            "late",
+            "The part of its time in which the processor could not follow, 0 to 1",
+            self.late.clone(),
+        );
+        all.register(
+            "class_waiting",
+            "Tasks without a place",
+            self.class_waiting.clone(),
+        );
+        all.register_with_unit(
+            "class_oldest",
+            "For how long the leader has known the oldest job with waiting tasks",
+            Unit::Seconds,
+            self.oldest.clone(),
+        );
+        all.register("class_due", "Units due, a mean", self.due.clone());
+        all.register("class_got", "Units that run, a mean", self.got.clone());
+        all.register(
+            "class_behind",
+            "1 while a class catches up with its due",
+            self.behind.clone(),
+        );
+        all.register(
+            "tasks",
+            "Tasks that this leader saw start and end, and attempts that gave way",
+            self.tasks.clone(),
+        );
+    }
+
+    fn record_admission(&self, status: &Status) {
+        self.table.set(status.table as i64);
+        self.part.set(status.part);
+        self.late.set(status.late);
+        for (class, counts) in &status.submissions {
+            let outcomes = [
+                ("came", counts.came),
+                ("accepted", counts.accepted),
+                ("in_time", counts.in_time),
+                ("sent_away", counts.sent_away),
+                ("no_turn", counts.no_turn),
+                ("given_up", counts.given_up),
+            ];
+            for (outcome, count) in outcomes {
+                let (team, class) = (class.team.clone(), class.class.clone());
+                let outcome = Outcome {
+                    team,
+                    class,
+                    outcome,
+                };
+                let count = count as i64;
+                self.submissions.get_or_create(&outcome).set(count);
+            }
+        }
+        self.class_waiting.clear();
+        self.oldest.clear();
+        self.due.clear();
+        self.got.clear();
+        self.behind.clear();
+        self.tasks.clear();
+        for (class, standing) in &status.classes {
+            let (team, class) = (class.team.clone(), class.class.clone());
+            let of = Class { team, class };
+            let waiting = standing.waiting as i64;
+            self.class_waiting.get_or_create(&of).set(waiting);
+            let oldest_s = standing.oldest as f64 / 1000.0;
+            self.oldest.get_or_create(&of).set(oldest_s);
+            self.due.get_or_create(&of).set(standing.due);
+            self.got.get_or_create(&of).set(standing.got);
+            let behind = i64::from(standing.behind);
+            self.behind.get_or_create(&of).set(behind);
+            let outcomes = [
+                ("started", standing.started),
+                ("done", standing.done),
+                ("gave_way", standing.gave_way),
+            ];
+            for (outcome, count) in outcomes {
+                let outcome = Outcome {
+                    team: of.team.clone(),
+                    class: of.class.clone(),
+                    outcome,
+                };
+                self.tasks.get_or_create(&outcome).set(count as i64);
+            }
+        }
     }
 
     pub fn state_failed(&self, error: &StateError) {
@@ -206,6 +344,7 @@
         self.unwritten.set(status.unwritten as i64);
         self.awaiting.set(status.awaiting as i64);
         self.ends_unwritten.set(status.ends_unwritten as i64);
+        self.record_admission(&status);
         // A node that leads no more has nothing to tell of these.
         self.waiting.clear();
         self.booked.clear();
--- a/src/transport/limiter.rs
+++ b/src/transport/limiter.rs
@@ -4,7 +4,7 @@
 
 use tokio::time::Instant;
 
-use crate::protocol::state::Urgency;
+use crate::{coordination::admission::order::reserve, protocol::state::Urgency};
 
 /// A bucket that refills at `rate` and holds a second's worth.
 pub struct Bucket {
@@ -42,12 +42,7 @@
                 let full = inner.rate.max(1.0);
                 inner.tokens = (inner.tokens + gained).min(full);
                 inner.at = now;
-                let reserve = full
-                    * match urgency {
-                        Urgency::Vital => 0.0,
-                        Urgency::Prompt => 0.1,
-                        Urgency::Normal => 0.25,
-                    };
+                let reserve = full * reserve(urgency);
                 // A cost above what the bucket can ever hold is let through once it is full.
                 let needed = (cost + reserve).min(full);
                 if inner.tokens >= needed - 1e-9 {
--- a/src/transport/mesh.rs
+++ b/src/transport/mesh.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, net::SocketAddrV4, time::Duration};
 
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tonic::{
     Request, Response, Status,
     transport::{Channel, Endpoint, Server},
@@ -10,7 +10,8 @@
 
 use crate::{
     coordination::{
-        Answer, Ask, Command, JobProgress, Progress, Renewal, Revocation, SilentMachine, Word,
+        Answer, Ask, Class, Command, Counts, JobProgress, News, Progress, Renewal, Revocation,
+        SilentMachine, TurnTold, Word,
     },
     protocol::{self, ids::JobId, job::Submission},
     transport::server::Door,
@@ -37,6 +38,75 @@
         term: message.term,
         leader: message.leader,
         jobs: jobs.collect(),
+        turns: message.turns.into_iter().map(heard_turn).collect(),
+    }
+}
+
+fn heard_turn(turn: proto::Turn) -> TurnTold {
+    let class = Class {
+        team: turn.team,
+        class: turn.class,
+    };
+    (JobId(turn.job), class, turn.in_ms)
+}
+
+fn turn_message((job, class, in_ms): &TurnTold) -> proto::Turn {
+    proto::Turn {
+        job: job.0,
+        team: class.team.clone(),
+        class: class.class.clone(),
+        in_ms: *in_ms,
+    }
+}
+
+fn heard_news(message: Told) -> News {
+    let of = |demand: &proto::Demand| Class {
+        team: demand.team.clone(),
+        class: demand.class.clone(),
+    };
+    let counts = |demand: &proto::Demand| Counts {
+        came: demand.came,
+        accepted: demand.accepted,
+        in_time: demand.in_time,
+        sent_away: demand.sent_away,
+        no_turn: demand.no_turn,
+        given_up: demand.given_up,
+    };
+    let demands = message.demands.iter();
+    News {
+        label: message.label,
+        seq: message.table,
+        takes: message.takes,
+        late: message.late,
+        demands: demands.clone().map(|each| (of(each), each.rate)).collect(),
+        counts: demands.map(|each| (of(each), counts(each))).collect(),
+        turns: message.turns.into_iter().map(heard_turn).collect(),
+    }
+}
+
+fn news_message(news: &News) -> Told {
+    let demands = news.counts.iter().map(|(class, counts)| {
+        let mut asked = news.demands.iter();
+        let rate = asked.find_map(|(other, rate)| (other == class).then_some(*rate));
+        proto::Demand {
+            team: class.team.clone(),
+            class: class.class.clone(),
+            rate: rate.unwrap_or(0.0),
+            came: counts.came,
+            accepted: counts.accepted,
+            in_time: counts.in_time,
+            sent_away: counts.sent_away,
+            no_turn: counts.no_turn,
+            given_up: counts.given_up,
+        }
+    });
+    Told {
+        label: news.label.clone(),
+        table: news.seq,
+        takes: news.takes,
+        late: news.late,
+        demands: demands.collect(),
+        turns: news.turns.iter().map(turn_message).collect(),
     }
 }
 
@@ -50,6 +120,7 @@
         term: progress.term,
         leader: progress.leader.clone(),
         jobs: jobs.collect(),
+        turns: progress.turns.iter().map(turn_message).collect(),
     }
 }
 
@@ -60,6 +131,7 @@
     owner: mpsc::UnboundedSender<Command>,
     questions: Questions,
     door: Door,
+    news: watch::Receiver<News>,
 }
 
 #[tonic::async_trait]
@@ -68,7 +140,7 @@
         let _ = self
             .owner
             .send(Command::Progress(heard(request.into_inner())));
-        Ok(Response::new(Told {}))
+        Ok(Response::new(news_message(&self.news.borrow())))
     }
 
     async fn relay(
@@ -141,11 +213,13 @@
     owner: mpsc::UnboundedSender<Command>,
     questions: Questions,
     door: Door,
+    news: watch::Receiver<News>,
 ) -> Result<(), tonic::transport::Error> {
     let service = Service {
         owner,
         questions,
         door,
+        news,
     };
     Server::builder()
         .add_service(MeshServer::new(service))
@@ -174,17 +248,17 @@
         Members { channels }
     }
 
-    /// Tells a member; whether it heard is not known and does not matter.
-    pub fn tell(&self, addr: SocketAddrV4, progress: &Progress) {
-        let Some(mut client) = self.channels.get(&addr).cloned() else {
-            return;
-        };
-        let message = message(progress);
-        tokio::task::spawn_local(async move {
-            if let Err(status) = client.tell(message).await {
+    /// Tells a member, and returns what it says of itself. `None`: whether it heard is not known and does not
+    /// matter.
+    pub async fn tell(&self, addr: SocketAddrV4, progress: &Progress) -> Option<News> {
+        let mut client = self.channels.get(&addr).cloned()?;
+        match client.tell(message(progress)).await {
+            Ok(told) => Some(heard_news(told.into_inner())),
+            Err(status) => {
                 tracing::trace!(%addr, code = ?status.code(), "member not told");
+                None
             }
-        });
+        }
     }
 
     /// Has a member answer a user's request. `None`: no answer.
--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -12,7 +12,7 @@
 
 use dalelb::{
     config::Config,
-    coordination::{Answer, Ask, AskId, Command, Effect, Node, Now},
+    coordination::{Answer, Ask, AskId, Command, Effect, News, Node, Now},
     protocol::{
         self,
         cloud::*,
@@ -246,6 +246,14 @@
     too_large: usize,
     /// Relayed requests that a member answered well.
     relayed: usize,
+    /// What each node last said of itself.
+    news: Vec<Option<News>>,
+    /// When each job was accepted, and users who were told to come back, and when they may.
+    let_in: Vec<u64>,
+    away: HashMap<JobId, u64>,
+    sent_away: usize,
+    seed: u64,
+    flood: HashSet<JobId>,
     /// Over all that the nodes sent, in order.
     trace: DefaultHasher,
     /// Chance that a command to a worker is late, though within its sender's patience.
@@ -294,6 +302,12 @@
             untold: false,
             too_large: 0,
             relayed: 0,
+            news: vec![None; NODES],
+            let_in: Vec::new(),
+            away: HashMap::new(),
+            sent_away: 0,
+            seed,
+            flood: HashSet::new(),
             trace: DefaultHasher::new(),
             late_orders: [0.0, 0.1, 0.4][(seed / 3) as usize % 3],
             faults: true,
@@ -558,9 +572,18 @@
                     if let Some(time) = self.arrival(cut) {
                         let life = self.lives[other];
                         self.later(other, life, time, Command::Progress(progress.clone()));
+                        // Its word comes back the same way.
+                        if let (Some(news), Some(back)) =
+                            (self.news[other].clone(), self.arrival(cut))
+                        {
+                            let asker = self.lives[index];
+                            let back = back.max(time);
+                            self.later(index, asker, back, Command::News(Box::new(news)));
+                        }
                     }
                 }
             }
+            Effect::Publish(news) => self.news[index] = Some(*news),
             Effect::Revoke { ref label, .. } => {
                 let other: usize = label[1..].parse().expect("a node's number");
                 let cut = self.cut_mesh[index].max(self.cut_mesh[other]);
@@ -934,8 +957,16 @@
                 !accepted || (answer.status != 400 && answer.status != 422),
                 "forgotten: {id}"
             );
+            if let Some(seconds) = answer.retry_after_s {
+                assert!(seconds <= 30, "users wait for 30 s at the most");
+                self.away.insert(id, now + u64::from(seconds) * 1000);
+                self.sent_away += usize::from(answer.status == 429);
+            }
             return;
         }
+        if answer.status == 201 {
+            self.let_in.push(now);
+        }
         told.accepted = true;
         let view: JobView = protocol::decode(&answer.body).expect("a job's state");
         let ended = |status| matches!(status, Some(JobStatus::Done | JobStatus::Cancelled));
@@ -1071,6 +1102,39 @@
         spec
     }
 
+    /// In one history of four small tasks come by the dozen for a while.
+    fn floods(&self, second: u64) -> bool {
+        self.seed % 4 == 2 && (40..52).contains(&second)
+    }
+
+    /// One of a flood: a small task of a team without a guarantee.
+    fn small_task(&mut self, number: u64) -> Submission {
+        self.flood.insert(JobId(number));
+        Submission {
+            class: "flood".into(),
+            team: "blue".into(),
+            kind: Kind::Array,
+            priority: Priority::Low,
+            tasks: 1,
+            cpus: 0.25,
+            ram_gb: 0.5,
+            spread: false,
+            spot: true,
+            estimate_s: 4.0,
+            ..self.some_job(number)
+        }
+    }
+
+    /// Whether the user of a flood's job asks at this moment.
+    fn comes_back(&mut self, id: JobId) -> bool {
+        let now = self.now;
+        match self.away.get(&id) {
+            Some(at) if *at > now => false,
+            Some(_) => true,
+            None => self.rng.random_bool(0.05),
+        }
+    }
+
     fn submit(&mut self, spec: Submission) {
         let id = spec.id;
         self.jobs.insert(id, (spec.clone(), Told::default()));
@@ -1455,6 +1519,27 @@
         }
     }
 
+    /// What was let in never exceeds what the nodes may take together: in any time, as much as comes in then and
+    /// what their buckets hold.
+    fn check_whole(&self) {
+        // Of 50 writes a second followers have 0.4 and the leader 0.6, less what is kept free; the users of a
+        // leader have 0.4 of its part, those of a follower 0.8 of theirs.
+        let follower = 0.8 * 0.92 * 0.2 * 50.0;
+        let leader: f64 = 0.4 * 0.92 * 0.6 * 50.0;
+        let whole = 2.0 * follower + leader;
+        let depth = 3.0 * (3.0 * leader.max(follower));
+        for (at, first) in self.let_in.iter().enumerate() {
+            for (count, last) in self.let_in[at..].iter().enumerate() {
+                // A request takes up to two seconds, and restarts fill a bucket anew.
+                let passed = (last - first) as f64 / 1000.0 + 2.0;
+                assert!(
+                    count as f64 <= whole * passed + depth + 0.5 * passed,
+                    "{count} let in within {passed} s"
+                );
+            }
+        }
+    }
+
     fn run_until(&mut self, end: u64) {
         while self.now < end {
             let next = self.now + 25;
@@ -1475,8 +1560,9 @@
 }
 
 /// What happened in a history: relayed requests that were answered, leaders that stood still, and that
-/// resigned, starts of tasks that had to wait for other jobs, records under several keys, writes refused for their size.
-type Seen = [usize; 6];
+/// resigned, starts of tasks that had to wait for other jobs, records under several keys, writes
+/// refused for their size, users sent away with a turn.
+type Seen = [usize; 7];
 
 /// Plays a history; what happened, and what all that was sent hashes to.
 fn play(seed: u64) -> (Seen, u64) {
@@ -1489,8 +1575,19 @@
             let spec = world.some_stage(number);
             world.submit(spec);
         }
+        if world.floods(second) {
+            for _ in 0..world.rng.random_range(20..60) {
+                number += 1;
+                let spec = world.small_task(number);
+                world.submit(spec);
+            }
+        }
         let ids: Vec<JobId> = world.jobs.keys().copied().collect();
         for id in ids {
+            // Those of a flood ask now and then, and come back when they were told to.
+            if world.flood.contains(&id) && !world.comes_back(id) {
+                continue;
+            }
             if world.rng.random_bool(0.2) {
                 world.ask(id, Ask::Poll(id));
             }
@@ -1519,10 +1616,11 @@
         world.run_until((second + 1) * 1000);
         let ids: Vec<JobId> = world.jobs.keys().copied().collect();
         for id in ids {
-            let (spec, told) = &world.jobs[&id];
-            if second % 5 != 0 {
+            let flood = second < 400 && world.flood.contains(&id);
+            if second % 5 != 0 || flood && !world.comes_back(id) {
                 continue;
             }
+            let (spec, told) = &world.jobs[&id];
             // Services would hold their team's limit for good, also one whose acceptance was lost
             // on its way to the user.
             let cancel = spec.kind == Kind::Service && told.cancelled_at.is_none();
@@ -1548,6 +1646,7 @@
             );
         }
     }
+    world.check_whole();
     let split = world.jobs.values().filter(|(spec, _)| spec.types.is_some());
     let seen = [
         world.relayed,
@@ -1556,6 +1655,7 @@
         world.released,
         split.count(),
         world.too_large,
+        world.sent_away,
     ];
     (seen, world.trace.finish())
 }
@@ -1578,7 +1678,7 @@
     let first = number("FIRST").unwrap_or(0);
     let seeds: Vec<u64> = (first..number("HISTORIES").unwrap_or(64)).collect();
     let at_once = std::thread::available_parallelism().map_or(1, |n| n.get());
-    let (mut seen, mut broken) = ([0; 6], Vec::new());
+    let (mut seen, mut broken) = ([0; 7], Vec::new());
     for seeds in seeds.chunks(at_once) {
         std::thread::scope(|scope| {
             // A panic tells its thread's name, so the seed.
@@ -1593,14 +1693,23 @@
                 .collect();
             for (seed, played) in seeds.iter().zip(played) {
                 match played.join() {
-                    Ok(counts) => (0..6).for_each(|each| seen[each] += counts[each]),
+                    Ok(counts) => (0..7).for_each(|each| seen[each] += counts[each]),
                     Err(_) => broken.push(*seed),
                 }
             }
         });
     }
     assert!(broken.is_empty(), "broken with seeds {broken:?}");
-    let [relayed, frozen, resigned, released, split, too_large] = seen;
+    let [
+        relayed,
+        frozen,
+        resigned,
+        released,
+        split,
+        too_large,
+        sent_away,
+    ] = seen;
+    assert!(sent_away > 0, "no user was sent away to come back");
     assert!(too_large > 0, "nothing was refused for its size");
     assert!(released > 0, "no job that awaited others ran");
     assert!(split > 0, "no record took several keys");
