--- a/crates/ways/src/main.rs
+++ b/crates/ways/src/main.rs
@@ -70,12 +70,12 @@
         "fixed split"
     }
 
-    fn step(&mut self, _: u64, knocks: &[Vec<usize>], _: &[bool]) -> Vec<Vec<bool>> {
+    fn step(&mut self, _: u64, knocks: &[Vec<usize>], cut: &[bool]) -> Vec<Vec<bool>> {
         let rate = WHOLE / NODES as f64;
         let let_in = |(node, knocks): (usize, &Vec<usize>)| {
             let tokens = &mut self.tokens[node];
             *tokens = (*tokens + rate * STEP as f64 / 1000.0).min(rate);
-            knocks.iter().map(|_| take(tokens)).collect()
+            knocks.iter().map(|_| !cut[node] && take(tokens)).collect()
         };
         knocks.iter().enumerate().map(let_in).collect()
     }
--- a/src/bookkeeping/dues.rs
+++ b/src/bookkeeping/dues.rs
@@ -54,6 +54,9 @@
     pub started: u64,
     pub done: u64,
     pub gave_way: u64,
+    /// Arrays that were completed, and those of them by the first time that is aimed at for their end.
+    pub jobs_done: u64,
+    pub jobs_in_time: u64,
 }
 
 impl Standing {
@@ -160,6 +163,21 @@
         (job.team, job.class)
     }
 
+    /// The last task of an array has completed.
+    pub fn job_completed(&mut self, index: JobIx, now: Millis) {
+        let job = self.job(index);
+        let aims = &self.aims[job.class.at()];
+        let due = aims
+            .due_s(job.deadline_s)
+            .chain(aims.finish_s.iter().copied());
+        let due_s = due.fold(f64::INFINITY, f64::min);
+        let took_s = self.wall_ms(now).saturating_sub(job.submitted_ms) as f64 / 1000.0;
+        let flow = self.flow(index);
+        let standing = self.dues.standing(flow);
+        standing.jobs_done += 1;
+        standing.jobs_in_time += u64::from(took_s <= due_s);
+    }
+
     /// Gives each class its due, once a second. `capacity` is what the usable machines hold, and `deserved` what
     /// each team deserves of it.
     pub fn look_at_dues(&mut self, now: Millis, capacity: f64, deserved: &[f64]) {
--- a/src/config.rs
+++ b/src/config.rs
@@ -54,11 +54,16 @@
 #[serde(default)]
 pub struct NodeLimits {
     pub sockets: u32,
+    /// Megabytes.
+    pub mem_mb: f64,
 }
 
 impl Default for NodeLimits {
     fn default() -> Self {
-        NodeLimits { sockets: 1024 }
+        NodeLimits {
+            sockets: 1024,
+            mem_mb: 256.0,
+        }
     }
 }
 
--- a/src/coordination/admission/table.rs
+++ b/src/coordination/admission/table.rs
@@ -335,6 +335,7 @@
             ("n1", 20.0, &[("calm", 2.0)]),
             ("n2", 20.0, &[]),
         ]);
+        assert!(floor(20.0) > 1.0, "never nothing");
         let table = split(&asked, floor(20.0), (1, 7), 10);
         assert!(rates(&table, "calm") > 2.9, "{table:?}");
         assert!(rates(&table, "flood") > 15.0, "{table:?}");
@@ -454,7 +455,7 @@
                 let mut sum = 0.0;
                 for (at, (following, synced)) in nodes.iter_mut().enumerate() {
                     if rng.random_bool(0.004) {
-                        cut[at] = now + rng.random_range(0..20_000);
+                        cut[at] = now + rng.random_range(0..70_000);
                     }
                     if rng.random_bool(0.002) {
                         // A new process.
--- a/src/coordination/directory.rs
+++ b/src/coordination/directory.rs
@@ -93,6 +93,8 @@
 pub struct Directory {
     /// In order: what the books are made from must not depend on chance.
     jobs: BTreeMap<JobId, Entry>,
+    /// Tasks of all unfinished jobs, which a leader holds in its memory.
+    tasks: u64,
     /// Records that are not complete yet.
     split: HashMap<JobId, Split>,
     /// Which live jobs await a job, from when the first of them is known until that job is over.
@@ -129,6 +131,17 @@
 }
 
 impl Directory {
+    /// One that has read all there is.
+    #[cfg(test)]
+    pub fn load_for_test(&mut self) {
+        self.loaded = true;
+    }
+
+    /// How many tasks all unfinished jobs have.
+    pub fn tasks(&self) -> u64 {
+        self.tasks
+    }
+
     pub fn loaded(&self) -> bool {
         self.loaded
     }
@@ -280,8 +293,12 @@
         let mut changed = vec![id];
         match known {
             Some(Entry::Final(..)) => return Change::Nothing,
-            Some(Entry::Live(live)) => changed.extend(&live.spec.awaits),
-            Some(Entry::Doomed(_)) | None => {}
+            Some(Entry::Live(live)) => {
+                changed.extend(&live.spec.awaits);
+                self.tasks -= u64::from(live.spec.tasks);
+            }
+            Some(Entry::Doomed(live)) => self.tasks -= u64::from(live.spec.tasks),
+            None => {}
         }
         self.split.remove(&id);
         self.jobs.insert(id, ended);
@@ -347,6 +364,7 @@
         } else {
             self.jobs.insert(id, Entry::Live(live));
         }
+        self.tasks += u64::from(spec.tasks);
         self.follow_from(vec![id])
     }
 
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -615,6 +615,9 @@
                 books.complete_task(job, task);
                 let flow = books.flow(job);
                 books.dues.standing(flow).done += 1;
+                if books.job(job).complete() {
+                    books.job_completed(job, now);
+                }
             }
             books.machines[on.at()].attempts[at].settled = true;
             books.machines[on.at()].failures.clear();
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -15,7 +15,7 @@
 };
 
 use crate::{
-    coordination::Status,
+    coordination::{self, Status},
     protocol::{cloud::CloudError, state::StateError},
 };
 
@@ -46,6 +46,23 @@
     outcome: &'static str,
 }
 
+impl Class {
+    fn of(class: &coordination::Class) -> Self {
+        Class {
+            team: class.team.clone(),
+            class: class.class.clone(),
+        }
+    }
+
+    fn outcome(&self, outcome: &'static str) -> Outcome {
+        Outcome {
+            team: self.team.clone(),
+            class: self.class.clone(),
+            outcome,
+        }
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct State {
     state: &'static str,
@@ -99,6 +116,7 @@
     got: Family<Class, Amount>,
     behind: Family<Class, Count>,
     tasks: Family<Outcome, Count>,
+    jobs: Family<Outcome, Count>,
 }
 
 impl Default for Metrics {
@@ -133,6 +151,7 @@
             got: Family::default(),
             behind: Family::default(),
             tasks: Family::default(),
+            jobs: Family::default(),
         };
         metrics.register();
         metrics
@@ -243,6 +262,11 @@
             "Tasks that this leader saw start and end, and attempts that gave way",
             self.tasks.clone(),
         );
+        all.register(
+            "jobs",
+            "Arrays that this leader saw done, and those by the first time aimed at",
+            self.jobs.clone(),
+        );
     }
 
     fn record_admission(&self, status: &Status) {
@@ -250,6 +274,7 @@
         self.part.set(status.part);
         self.late.set(status.late);
         for (class, counts) in &status.submissions {
+            let of = Class::of(class);
             let outcomes = [
                 ("came", counts.came),
                 ("accepted", counts.accepted),
@@ -259,12 +284,7 @@
                 ("given_up", counts.given_up),
             ];
             for (outcome, count) in outcomes {
-                let (team, class) = (class.team.clone(), class.class.clone());
-                let outcome = Outcome {
-                    team,
-                    class,
-                    outcome,
-                };
+                let outcome = of.outcome(outcome);
                 let count = count as i64;
                 self.submissions.get_or_create(&outcome).set(count);
             }
@@ -275,9 +295,9 @@
         self.got.clear();
         self.behind.clear();
         self.tasks.clear();
+        self.jobs.clear();
         for (class, standing) in &status.classes {
-            let (team, class) = (class.team.clone(), class.class.clone());
-            let of = Class { team, class };
+            let of = Class::of(class);
             let waiting = standing.waiting as i64;
             self.class_waiting.get_or_create(&of).set(waiting);
             let oldest_s = standing.oldest as f64 / 1000.0;
@@ -292,13 +312,17 @@
                 ("gave_way", standing.gave_way),
             ];
             for (outcome, count) in outcomes {
-                let outcome = Outcome {
-                    team: of.team.clone(),
-                    class: of.class.clone(),
-                    outcome,
-                };
+                let outcome = of.outcome(outcome);
                 self.tasks.get_or_create(&outcome).set(count as i64);
             }
+            let outcomes = [
+                ("done", standing.jobs_done),
+                ("in_time", standing.jobs_in_time),
+            ];
+            for (outcome, count) in outcomes {
+                let outcome = of.outcome(outcome);
+                self.jobs.get_or_create(&outcome).set(count as i64);
+            }
         }
     }
 
--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -548,6 +548,23 @@
     })
     .await;
 
+    // Both follow the leader's table, each with a part of the whole.
+    for index in 0..2 {
+        until("an admission table", || {
+            let answer = call(Method::GET, index, "/metrics".into(), Vec::new());
+            async move {
+                let text = String::from_utf8(answer.await?.1.to_vec()).ok()?;
+                let value = |name: &str| -> Option<f64> {
+                    let mut lines = text.lines();
+                    lines.find_map(|line| line.strip_prefix(name)?.trim().parse().ok())
+                };
+                (value("dalelb_admission_table")? >= 1.0).then_some(())?;
+                (value("dalelb_admission_part")? > 0.0).then_some(())
+            }
+        })
+        .await;
+    }
+
     first
         .kill()
         .await
