--- a/src/coordination/admission/order.rs
+++ b/src/coordination/admission/order.rs
@@ -29,8 +29,9 @@
     pub fn urgency(self) -> Urgency {
         match self {
             Rank::IdlePoll | Rank::Poll => Urgency::Normal,
-            Rank::Beyond => Urgency::Patient,
-            Rank::Within => Urgency::Prompt,
+            // The door tells them apart. With a larger reserve for one of them it found nothing on a leader, whose
+            // notes are prompt too and take all that is above theirs under load.
+            Rank::Beyond | Rank::Within => Urgency::Prompt,
             Rank::Cancellation | Rank::Lease => Urgency::Vital,
         }
     }
@@ -52,9 +53,6 @@
     match urgency {
         Urgency::Vital => 0.0,
         Urgency::Prompt => 0.1,
-        // Not much more: a leader's notes are prompt and take all above their reserve under load, so that with a
-        // quarter one submission in twenty-five waited for seconds.
-        Urgency::Patient => 0.12,
         Urgency::Normal => 0.25,
     }
 }
--- a/src/protocol/state.rs
+++ b/src/protocol/state.rs
@@ -189,8 +189,6 @@
     Vital,
     /// What a user waits for.
     Prompt,
-    /// What a user waits for whose class has had its due.
-    Patient,
     /// The rest.
     Normal,
 }
