A table that has settled says so: processes that begin take their part at once

Cause: a process that had just begun could not know how old the table was that it read, and went on with its floor, 3 submissions a second, for 5 s; after all had ended together users who came back were sent away. Change: once a table has been in the store for 5 s its leader marks it there; what it gives is taken at once. The test of any cuts, restarts and leaders holds the sum to the whole of the newest table that has settled.

--- a/src/coordination/admission/mod.rs
+++ b/src/coordination/admission/mod.rs
@@ -248,6 +248,11 @@
             return;
         };
         if table.seq <= self.admission.seq() {
+            if table.settled && table.seq == self.admission.seq() {
+                let table = table.clone();
+                let following = &mut self.admission.following;
+                following.read(table, Parts::default(), self.now);
+            }
             return;
         }
         let table = table.clone();
@@ -340,11 +345,24 @@
         let Some(leading) = &self.leading else { return };
         let admission = &self.admission;
         let since = admission.stored_at.max(leading.takeover_at);
-        if leading.books.is_none()
-            || admission.storing
-            || since + TABLES > self.now
-            || !self.may_start()
+        if leading.books.is_none() || admission.storing || !self.may_start() {
+            return;
+        }
+        if let Some((table, version)) = &self.directory.table
+            && !table.settled
+            && table.seq == admission.seq()
+            && since + SETTLED <= self.now
         {
+            let settled = Table {
+                settled: true,
+                ..table.clone()
+            };
+            let tag = StateTag::TableSettled {
+                lease: leading.lease,
+            };
+            return self.write_table(tag, *version, &settled);
+        }
+        if since + TABLES > self.now {
             return;
         }
         let (known, version) = match &self.directory.table {
@@ -368,6 +386,13 @@
             return;
         }
         let lease = leading.lease;
+        // From the moment that it may be applied.
+        self.admission.stored_at = self.now;
+        self.write_table(StateTag::Table { lease }, version, &table);
+    }
+
+    fn write_table(&mut self, tag: StateTag, version: u64, table: &Table) {
+        let Some(leading) = &self.leading else { return };
         let mut txn = crate::protocol::state::Txn::only_if(leading.condition());
         txn.conditions.push(Condition {
             key: store::TABLE.into(),
@@ -375,18 +400,20 @@
         });
         txn.writes.push(Write::Put {
             key: store::TABLE.into(),
-            value: store::to_value(&table),
+            value: store::to_value(table),
             lease: None,
         });
         self.admission.storing = true;
-        // From the moment that it may be applied.
-        self.admission.stored_at = self.now;
-        self.state(
-            StateTag::Table { lease },
-            StateRequest::Txn(txn),
-            Urgency::Normal,
-            TXN_TIMEOUT,
-        );
+        let request = StateRequest::Txn(txn);
+        self.state(tag, request, Urgency::Normal, TXN_TIMEOUT);
+    }
+
+    /// Whatever became of that, it is read like everybody else's.
+    pub(super) fn table_settled(&mut self, lease: u64, result: Result<StateReply, StateError>) {
+        self.admission.storing = false;
+        if self.fate(lease, result).is_some() {
+            self.want_sync();
+        }
     }
 
     /// Whatever became of it, it is read like everybody else's: the watch tells of it.
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -278,6 +278,9 @@
     Table {
         lease: u64,
     },
+    TableSettled {
+        lease: u64,
+    },
     DeputyGrant,
     DeputyPut {
         lease: u64,
@@ -450,6 +453,7 @@
             StateTag::Ends { lease } => self.ends_stored(lease, result),
             StateTag::Types | StateTag::Images => {}
             StateTag::Table { lease } => self.table_stored(lease, result),
+            StateTag::TableSettled { lease } => self.table_settled(lease, result),
             StateTag::DeputyGrant => self.deputy_granted(sent_at, result),
             StateTag::DeputyPut { lease } => self.deputy_put(lease, result),
             StateTag::DeputyTouch { lease } => self.deputy_touched(lease, sent_at, result),
