Those that have lived longer lead first; loopback test of quick ends; replicas count as served

Cause: where all processes were young each takeover waited 250 ms for nobody. The oldest, by the version of its deputy's key, goes at once now. Real daemons killed under load and started again within 50 ms serve again within 5 s (asserted), all that was accepted is known. Histories check that replicas of each team are up for half of the time at least that its limit allows.

--- a/src/coordination/admission/table.rs
+++ b/src/coordination/admission/table.rs
@@ -446,6 +446,38 @@
         }
     }
 
+    /// A process that had just begun followed its floor until the table that it had read had settled: users who were no
+    /// flood were sent away for 6 s after each restart.
+    #[test]
+    fn a_process_that_has_just_begun_takes_the_lesser_of_two_tables() {
+        const TAKES: f64 = 20.0;
+        let floor = floor(TAKES);
+        let asked = |calm| demands(&[("n0", TAKES, &[("calm", calm)]), ("n1", TAKES, &[])]);
+        let first = split(&asked(3.0), floor, (1, 1), 9).after(None, TAKES, floor);
+        let mut less = asked(5.0);
+        less.get_mut("n0").expect("it is there").late = 0.5;
+        let second = split(&less, floor, (2, 1), 9).after(Some(&first), TAKES, floor);
+        let third = split(&asked(9.0), floor, (3, 1), 9).after(Some(&second), TAKES, floor);
+        let follows = |table: &Table| {
+            let mut following = Following::default();
+            following.read("n0", table.clone(), Parts::default(), 100);
+            let parts = following.parts("n0", (TAKES, floor), Some(100), 100);
+            parts.whole()
+        };
+        let whole = |table: &Table| table.whole_of("n0").expect("it is there");
+        for (table, least) in [
+            (&first, whole(&first)),
+            (&second, whole(&second)),
+            (&third, whole(&second)),
+        ] {
+            let found = follows(table);
+            assert!(
+                found > floor && (found - least).abs() < 0.1,
+                "{found}, {least}"
+            );
+        }
+    }
+
     /// Three nodes that miss syncs and tables for any time, leaders that change, writes that are applied late: at
     /// no moment do they follow more than a whole that was agreed on.
     #[test]
--- a/src/coordination/deputy.rs
+++ b/src/coordination/deputy.rs
@@ -64,6 +64,13 @@
     revoked: HashMap<String, (u64, Millis)>,
 }
 
+impl Deputy {
+    /// The version of this node's key, if it holds it.
+    pub(super) fn key_version(&self) -> Option<u64> {
+        self.held.then_some(self.version)
+    }
+}
+
 impl Node {
     /// Gets and keeps the right to renew.
     pub(super) fn keep_deputy(&mut self) {
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -226,8 +226,7 @@
             return;
         }
         let vacant = *self.campaign.vacant.get_or_insert(self.now);
-        // Where nobody has ever led, nobody has lived longer.
-        if self.now < YOUNG && self.directory.term > 0 && self.now < vacant + DEFER {
+        if self.now < YOUNG && self.now < vacant + DEFER && self.others_are_older() {
             return;
         }
         self.campaign.step = Step::Granting;
@@ -239,6 +238,14 @@
         );
     }
 
+    /// Whether another node holds a deputy's key that is older than this one's, as far as is known: its process, or
+    /// one that has just ended, has lived for longer.
+    fn others_are_older(&self) -> bool {
+        let own = self.deputy.key_version().unwrap_or(u64::MAX);
+        let mut others = self.directory.deputies.iter();
+        others.any(|(label, version)| *label != self.config.label && *version < own)
+    }
+
     fn campaign_failed(&mut self) {
         self.campaign.step = Step::Idle;
         self.campaign.after = self.now + CAMPAIGN_RETRY;
@@ -749,7 +756,7 @@
     use super::*;
     use crate::coordination::{Command, Now, directory};
 
-    fn node(term: u64) -> Node {
+    fn node(older: bool) -> Node {
         let config = serde_json::from_value(serde_json::json!({
             "label": "n0", "domain": "a", "listen": "127.0.0.1:1", "mesh_addr": "127.0.0.1:2",
             "members": [{"label": "n1", "domain": "b", "address": "127.0.0.1:5"}],
@@ -764,7 +771,9 @@
         let mut node = Node::new(config.expect("valid settings"));
         node.directory.load_for_test();
         node.loading = directory::Loading::Done;
-        node.directory.term = term;
+        if older {
+            node.directory.deputies.insert("n1".into(), 3);
+        }
         let kind = serde_json::json!({"sku": "c16", "cpus": 16.0, "ram_gb": 64.0, "hourly": 1.0,
             "ready_s": 10.0, "pull_gb_per_s": 1.0, "local_gb": 50.0, "yards": ["a"]});
         node.types = vec![serde_json::from_value(kind).expect("a machine type")];
@@ -786,7 +795,7 @@
     /// next, before the others had heard that there was none.
     #[test]
     fn a_process_that_has_just_begun_lets_others_lead_first() {
-        let mut young = node(3);
+        let mut young = node(true);
         let own = LeaderRecord {
             node: "n0".into(),
             lease: 7,
@@ -797,9 +806,9 @@
         young.directory.leader = None;
         assert!(!campaigns(&mut young, (100..100 + DEFER).step_by(50)));
         assert!(campaigns(&mut young, [100 + DEFER]), "nobody else is there");
-        let mut old = node(3);
+        let mut old = node(true);
         assert!(campaigns(&mut old, [YOUNG]));
-        let mut first = node(0);
-        assert!(campaigns(&mut first, [40]), "nobody has ever led");
+        let mut first = node(false);
+        assert!(campaigns(&mut first, [40]), "nobody has lived longer");
     }
 }
--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -338,6 +338,11 @@
     listener.local_addr().expect("its address").port()
 }
 
+fn settings_file(ports: (u16, u16)) -> std::path::PathBuf {
+    let name = format!("dalelb-e2e-{}-{}.json", std::process::id(), ports.0);
+    std::env::temp_dir().join(name)
+}
+
 fn node(index: usize, ports: &[(u16, u16)], state: SocketAddr, cloud: SocketAddr) -> Child {
     let members: Vec<Value> = (0..ports.len())
         .filter(|other| *other != index)
@@ -358,8 +363,7 @@
             "cloud": {"rps": 10.0, "list_lag_s": 1.0}
         }
     });
-    let name = format!("dalelb-e2e-{}-{index}.json", std::process::id());
-    let path = std::env::temp_dir().join(name);
+    let path = settings_file(ports[index]);
     std::fs::write(&path, settings.to_string()).expect("a settings file");
     Command::new(env!("CARGO_BIN_EXE_dalelb"))
         .args(["serve", "--log-level", "warn", "--config"])
@@ -575,8 +579,115 @@
     .await;
     until("done without it", || ended(1, "j-000005", JobStatus::Done)).await;
     until("still done", || ended(1, "j-000001", JobStatus::Done)).await;
-    for index in 0..2 {
-        let name = format!("dalelb-e2e-{}-{index}.json", std::process::id());
-        let _ = std::fs::remove_file(std::env::temp_dir().join(name));
+    for ports in ports {
+        let _ = std::fs::remove_file(settings_file(ports));
+    }
+}
+
+#[tokio::test]
+async fn processes_that_end_are_back_at_once() {
+    tokio::task::LocalSet::new().run_until(restarts()).await;
+}
+
+/// Processes are killed under load and started again within 50 ms, one by one and both: their addresses are
+/// still in use by connections that nobody has closed, and what was accepted is done.
+async fn restarts() {
+    const USERS: usize = 24;
+    let ports: Vec<(u16, u16)> = (0..2).map(|_| (free_port(), free_port())).collect();
+    let state = state_service();
+    let addrs: Vec<SocketAddr> = ports
+        .iter()
+        .map(|(listen, _)| SocketAddr::from(([127, 0, 0, 1], *listen)))
+        .collect();
+    let named = addrs
+        .iter()
+        .enumerate()
+        .map(|(i, addr)| (format!("n{i}"), *addr));
+    let cloud = cloud(worker(named.collect()));
+    let mut nodes: Vec<Child> = (0..2).map(|at| node(at, &ports, state, cloud)).collect();
+    let ready = |to: usize| {
+        let addr = addrs[to].to_string();
+        async move {
+            let http = Http::new(0, Duration::from_secs(1), false);
+            let timeout = Duration::from_secs(1);
+            let path = "/ready";
+            let answer = http
+                .call(Method::GET, &addr, path, Vec::new(), false, timeout)
+                .await;
+            answer.filter(|(status, _)| *status == 200)
+        }
+    };
+    for at in 0..2 {
+        until("a node is ready", || ready(at)).await;
+    }
+    let accepted = Rc::new(std::cell::RefCell::new(Vec::new()));
+    let over = Rc::new(std::cell::Cell::new(false));
+    let mut users = Vec::new();
+    for user in 0..USERS {
+        let (accepted, over, addrs) = (accepted.clone(), over.clone(), addrs.clone());
+        users.push(tokio::task::spawn_local(async move {
+            let http = Http::new(1, Duration::from_secs(30), false);
+            let mut number = 0;
+            while !over.get() {
+                let id = format!("j-{:06}", user * 1000 + number);
+                let addr = addrs[(user + number) % 2].to_string();
+                let body = job(&id, "array", "red");
+                let timeout = Duration::from_secs(5);
+                let path = "/v2/runs";
+                let answer = http
+                    .call(Method::POST, &addr, path, body, true, timeout)
+                    .await;
+                if let Some((200 | 201, _)) = answer {
+                    accepted.borrow_mut().push(id);
+                    number += 1;
+                }
+                tokio::time::sleep(Duration::from_millis(400)).await;
+            }
+        }));
+    }
+    for (round, ends) in [&[0][..], &[0], &[1], &[0, 1], &[1, 0], &[0]]
+        .into_iter()
+        .enumerate()
+    {
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        for &at in ends {
+            nodes[at].kill().await.expect("a node is killed");
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        for &at in ends {
+            nodes[at] = node(at, &ports, state, cloud);
+        }
+        let began = Instant::now();
+        for &at in ends {
+            until("ready again", || ready(at)).await;
+        }
+        let took = began.elapsed();
+        assert!(took < Duration::from_secs(5), "round {round}: {took:?}");
+    }
+    over.set(true);
+    for user in users {
+        user.await.expect("a user leaves");
+    }
+    let accepted = accepted.take();
+    assert!(accepted.len() > USERS, "{} accepted", accepted.len());
+    let http = Rc::new(Http::new(1, Duration::from_secs(30), false));
+    // One machine does not do them all in a moment; all are known.
+    for (number, id) in accepted.into_iter().enumerate() {
+        until("done, or known", || {
+            let (http, addr, path) = (http.clone(), addrs[1].to_string(), format!("/v2/runs/{id}"));
+            async move {
+                let timeout = Duration::from_secs(5);
+                let (status, body) = http
+                    .call(Method::GET, &addr, &path, Vec::new(), true, timeout)
+                    .await?;
+                assert_ne!(status, 404, "forgotten");
+                let view: JobView = protocol::decode(&body).ok().filter(|_| status == 200)?;
+                (number >= 20 || view.status == JobStatus::Done).then_some(())
+            }
+        })
+        .await;
+    }
+    for ports in ports {
+        let _ = std::fs::remove_file(settings_file(ports));
     }
 }
--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -180,6 +180,7 @@
 #[derive(Default)]
 struct Told {
     accepted: bool,
+    accepted_at: Option<u64>,
     cancelled_at: Option<u64>,
     asked_to_cancel: bool,
     last: Option<JobStatus>,
@@ -272,6 +273,8 @@
     /// Ends of processes that were back within a second, and late copies of messages.
     quick_ends: usize,
     copies: usize,
+    /// Of each team, replica seconds that were asked for, and those of them in which it was up.
+    replicas: [(u64, u64); 2],
     flood: HashSet<JobId>,
     /// Over all that the nodes sent, in order.
     trace: DefaultHasher,
@@ -331,6 +334,7 @@
             late_key: (NODES, 0),
             quick_ends: 0,
             copies: 0,
+            replicas: [(0, 0); 2],
             flood: HashSet::new(),
             trace: DefaultHasher::new(),
             late_orders: [0.0, 0.1, 0.4][(seed / 3) as usize % 3],
@@ -1086,6 +1090,7 @@
             self.let_in.push(now);
         }
         told.accepted = true;
+        told.accepted_at.get_or_insert(now);
         let view: JobView = protocol::decode(&answer.body).expect("a job's state");
         let ended = |status| matches!(status, Some(JobStatus::Done | JobStatus::Cancelled));
         if ended(last) {
@@ -1272,6 +1277,43 @@
         }
     }
 
+    /// Adds up the replicas that have been asked for long enough, as far as their team's limit allows, and those of
+    /// them that run. A second in which nobody can act counts for nothing: the state service is down, or
+    /// no node has been up for long enough.
+    fn count_replicas(&mut self) {
+        let patience = self.rhythm.lease + 10_000;
+        let settled = |node: usize| {
+            self.nodes[node].is_some()
+                && self.born[node] + 5000 <= self.now
+                && self.cut_store[node] + 5000 <= self.now
+                && self.cut_workers[node] + patience <= self.now
+                && self.frozen[node] + 5000 <= self.now
+        };
+        if self.store.down_until + patience > self.now
+            || !(0..NODES).all(settled)
+            || self.zone_cut.2 + patience > self.now
+        {
+            return;
+        }
+        let running = self.running();
+        for (at, (team, most)) in [("red", (LIMIT / 4.0) as u64), ("blue", 30)]
+            .into_iter()
+            .enumerate()
+        {
+            let (mut asked, mut up) = (0, 0);
+            for (id, (spec, told)) in &self.jobs {
+                let old = told.accepted_at.is_some_and(|at| at + patience <= self.now);
+                if spec.kind != Kind::Service || spec.team != team || !old || told.asked_to_cancel {
+                    continue;
+                }
+                asked += u64::from(spec.tasks);
+                up += running.keys().filter(|task| task.job == *id).count() as u64;
+            }
+            self.replicas[at].0 += asked.min(most);
+            self.replicas[at].1 += up.min(most);
+        }
+    }
+
     /// Tasks that run, each with its attempt and the machine.
     fn running(&self) -> BTreeMap<TaskId, (u64, usize)> {
         let all = self.workers.iter().enumerate();
@@ -1735,6 +1777,7 @@
                 world.ask(id, Ask::Cancel(id));
             }
         }
+        world.count_replicas();
         if second > 10 && world.rng.random_bool(0.12) {
             world.fault();
         }
@@ -1783,6 +1826,13 @@
         }
     }
     world.check_whole();
+    // The least served team, of what its limit allows.
+    for (asked, up) in world.replicas {
+        assert!(
+            asked < 100 || up * 2 >= asked,
+            "replicas were up for {up} of {asked} s"
+        );
+    }
     let split = world.jobs.values().filter(|(spec, _)| spec.types.is_some());
     let seen = [
         world.relayed,
