--- a/crates/served/src/bound.rs
+++ b/crates/served/src/bound.rs
@@ -28,8 +28,15 @@
     }
 }
 
+/// What some teams may use at a time, in units.
+pub type Limits = BTreeMap<String, f64>;
+
 /// The part of each class's work that could have been done by the end, from 0 to 1. `units`: what the fleet holds.
-pub fn possible(run: &Run, units: f64) -> Result<BTreeMap<Name, f64>, ResolutionError> {
+pub fn possible(
+    run: &Run,
+    units: f64,
+    limits: &Limits,
+) -> Result<BTreeMap<Name, f64>, ResolutionError> {
     let begin = run
         .jobs
         .values()
@@ -57,19 +64,24 @@
     }
     works.retain(|_, work| work.whole() > 0.0);
     let room = units * slice_s;
-    let least = solve(&works, room, None, 0.0)?;
+    let limits = limits
+        .iter()
+        .map(|(team, limit)| (team.clone(), limit / units));
+    let limits: Limits = limits.collect();
+    let least = solve(&works, room, &limits, None, 0.0)?;
     let mut possible = BTreeMap::new();
     for name in works.keys() {
-        let part = solve(&works, room, Some(name), least * 0.999)?;
+        let part = solve(&works, room, &limits, Some(name), least * 0.999)?;
         possible.insert(name.clone(), part.min(1.0));
     }
     Ok(possible)
 }
 
-/// The largest part of `best`'s work, or of everybody's, that can be done while all have at least `least`.
+/// `limits`: in parts of the room. The largest part of `best`'s work, or of everybody's, that can be done while all have at least `least`.
 fn solve(
     works: &BTreeMap<Name, Work>,
     room: f64,
+    limits: &Limits,
     best: Option<&Name>,
     least: f64,
 ) -> Result<f64, ResolutionError> {
@@ -84,6 +96,14 @@
         let all: Expression = done.iter().map(|class| class[slice]).sum();
         // In parts of the room, so that numbers stay near one.
         problem = problem.with(all.leq(1.0));
+        for (team, limit) in limits {
+            let of_team = works
+                .keys()
+                .zip(&done)
+                .filter(|((name, _), _)| name == team);
+            let sum: Expression = of_team.map(|(_, class)| class[slice]).sum();
+            problem = problem.with(sum.leq(*limit));
+        }
     }
     for ((name, work), class) in works.iter().zip(&done) {
         let mut come = 0.0;
@@ -119,7 +139,7 @@
         // 100 s of 10 units; 1,500 unit seconds of one class, 100 of another that comes at half time.
         let text = line(1, 0.0, "large", 150, 1.0) + &line(2, 50.0, "small", 10, 1.0);
         run.read(&(text + "100 n1 INFO end\n"));
-        let possible = possible(&run, 10.0).expect("it can be solved");
+        let possible = possible(&run, 10.0, &Limits::new()).expect("it can be solved");
         let of = |class: &str| possible[&("t".to_string(), class.to_string())];
         // 1,600 are asked for where 1,000 fit: nobody can have more without the other having less.
         for class in ["small", "large"] {
@@ -127,6 +147,19 @@
         }
     }
 
+    #[test]
+    fn a_team_s_limit_bounds_what_is_possible_for_it() {
+        let mut run = Run::default();
+        let other = line(2, 0.0, "b", 50, 1.0).replace("team=\"t\"", "team=\"u\"");
+        run.read(&(line(1, 0.0, "a", 50, 1.0) + &other + "100 n1 INFO end\n"));
+        let limits = Limits::from([("t".to_string(), 2.0)]);
+        let possible = possible(&run, 10.0, &limits).expect("it can be solved");
+        // 200 of 500 unit seconds.
+        let of = |team: &str, class: &str| possible[&(team.to_string(), class.to_string())];
+        assert!((of("t", "a") - 0.4).abs() < 0.02, "{possible:?}");
+        assert!(of("u", "b") > 0.99, "{possible:?}");
+    }
+
     #[test]
     fn what_comes_too_late_cannot_be_done() {
         let mut run = Run::default();
@@ -135,7 +168,7 @@
                 + &line(2, 90.0, "late", 20, 1.0)
                 + "100 n1 INFO end\n"),
         );
-        let possible = possible(&run, 10.0).expect("it can be solved");
+        let possible = possible(&run, 10.0, &Limits::new()).expect("it can be solved");
         let late = possible[&("t".to_string(), "late".to_string())];
         assert!((late - 0.5).abs() < 0.05, "{possible:?}");
     }
--- a/crates/served/src/main.rs
+++ b/crates/served/src/main.rs
@@ -19,12 +19,21 @@
     /// an offline bound says was possible.
     #[arg(long)]
     units: Option<f64>,
+    /// What a team may use at a time, in units: `team=5000`. For the bound; without it a team may have all.
+    #[arg(long, value_parser = limit)]
+    limit: Vec<(String, f64)>,
     /// Ends with an error if a class was served less than this part of what was possible (or of all that it asked
     /// for, without --units), from 0 to 1.
     #[arg(long)]
     least: Option<f64>,
 }
 
+fn limit(text: &str) -> Result<(String, f64), String> {
+    let (team, units) = text.split_once('=').ok_or("it is no team=units")?;
+    let units = units.parse().map_err(|_| "the units are no number")?;
+    Ok((team.to_owned(), units))
+}
+
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
     let mut run = log::Run::default();
@@ -37,7 +46,11 @@
             }
         }
     }
-    let bounds = match arguments.units.map(|units| bound::possible(&run, units)) {
+    let limits = arguments.limit.iter().cloned().collect();
+    let bounds = match arguments
+        .units
+        .map(|units| bound::possible(&run, units, &limits))
+    {
         Some(Ok(bounds)) => bounds,
         Some(Err(error)) => {
             eprintln!("the bound: {error}");
