A leader that cannot read the notes stops what is cancelled as it renews workers

Cause: a new leader answers reports while it reads its predecessors' notes, with 200 and no orders. If the state service goes down for all in that time, it goes on doing so for as long as it may renew anybody (cancel_s - lease_s after its sync). It knows of all cancellations up to its takeover and stops none, so tasks that others had confirmed as cancelled while the predecessor was refused ran on for up to cancel_s and the time since the confirmation. Deputies sent the stops.

Change: whoever renews a worker sends the stops that follow from the directory, also a leader without books and one that hears an old report. Histories: a state service that refuses one node alone (503, its watches wait, its leases run out), outages longer than cancel_s, late transactions of a living process, copies of reports up to two leases old, deaf machines, a slow state service, a leader cut from it and from the members, two of these at a time; all users are answered at the end. Tasks that save count as on their machine. A directed test of the refused leader, the outage beginning at 29 places.

--- a/src/coordination/deputy.rs
+++ b/src/coordination/deputy.rs
@@ -309,24 +309,28 @@
             return None;
         }
         self.renewed(report);
-        let orders = report
-            .tasks
-            .iter()
-            .filter(|task| task.state != TaskState::Ended)
-            .filter(|task| {
-                let job = self.directory.get(task.task.job);
-                job.and_then(Entry::ended) == Some(JobStatus::Cancelled)
-            })
+        Some(Orders {
+            token: self.directory.term,
+            orders: self.stops(report),
+        })
+    }
+
+    /// Stops what a worker runs and a user has cancelled. Whoever renews a worker sends these with it, also a
+    /// leader without books: what is known here to be cancelled is not carried out by leases running out.
+    pub(super) fn stops(&self, report: &Report) -> Vec<Order> {
+        let cancelled = |job| {
+            let entry = self.directory.get(job);
+            entry.and_then(Entry::ended) == Some(JobStatus::Cancelled)
+        };
+        let tasks = report.tasks.iter();
+        tasks
+            .filter(|task| task.state != TaskState::Ended && cancelled(task.task.job))
             .map(|task| Order::Stop {
                 task: task.task,
                 attempt: task.attempt,
                 grace_s: 0.0,
             })
-            .collect();
-        Some(Orders {
-            token: self.directory.term,
-            orders,
-        })
+            .collect()
     }
 
     /// Notes that a report was answered with 200, by the leader as by a deputy: a later leader will
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -71,22 +71,24 @@
         let now = self.now;
         let lease_ms = self.times.lease;
         let may_start = self.may_start();
-        let books_complete = self.sync.ok.is_some();
-        let leading = self.leading.as_mut()?;
+        let leading = self.leading.as_ref()?;
         if report.token > leading.term {
             // Somebody leads after us.
             self.want_sync();
             return None;
         }
         let (first_term, term) = (leading.first_term, leading.term);
-        let (Some(books), true) = (&mut leading.books, books_complete) else {
+        if leading.books.is_none() || self.sync.ok.is_none() {
             // The books are being made: the lease is renewed, the report comes again. A machine
-            // renewed now is covered by the silence that a takeover grants all machines.
+            // renewed now is covered by the silence that a takeover grants all machines. While the state
+            // service is down that may take until it must not be renewed any more: tasks that had been
+            // cancelled long before the takeover ran on until then, and a lease longer.
             return checkin.then(|| Orders {
                 token: term,
-                orders: Vec::new(),
+                orders: self.stops(report),
             });
-        };
+        }
+        let books = self.leading.as_mut()?.books.as_mut()?;
         let type_ix = TypeIx(books.type_names.get(&report.type_name)?);
         let zone = books.zone(&report.zone);
         let known = books.machine_index.contains_key(&report.machine);
@@ -100,10 +102,11 @@
         }
         let newer = (report.session, report.seq) > (machine.session, machine.seq);
         if !newer {
-            // An old report changes nothing, and its answer is dropped.
+            // An old report changes nothing. Its answer is dropped, unless the worker has only answered
+            // direct commands since.
             return checkin.then(|| Orders {
                 token: term,
-                orders: Vec::new(),
+                orders: self.stops(report),
             });
         }
         if machine.state == MachineState::Booting || machine.state == MachineState::Lost {
--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -30,6 +30,8 @@
 const LIMIT: f64 = 24.0;
 /// Later than any history ends, in milliseconds.
 const FOR_GOOD: u64 = 10_000_000;
+/// Once nothing fails any more, each job's user gets an answer within that.
+const KNOWN: u64 = 20_000;
 
 /// How often workers report, how long their leases last, and within what time a cancellation has to be
 /// carried out, in milliseconds. Times in the code that presumed one deployment's made a member count less
@@ -140,6 +142,10 @@
     /// The report in flight: its number and when it is given up.
     flying: Option<(u64, u64)>,
     cut_until: u64,
+    /// Its reports arrive until then, and answers and commands to it are lost.
+    deaf_until: u64,
+    /// Starts that were sent to it meanwhile.
+    lost_starts: BTreeSet<(TaskId, u64)>,
     gone: bool,
     /// Reports late by this much drift.
     drift: f64,
@@ -183,6 +189,8 @@
     accepted_at: Option<u64>,
     cancelled_at: Option<u64>,
     asked_to_cancel: bool,
+    /// When a question about it was last answered.
+    answered_at: u64,
     last: Option<JobStatus>,
 }
 
@@ -217,6 +225,26 @@
     lives: Vec<u64>,
     born: Vec<u64>,
     cut_store: Vec<u64>,
+    /// Until when the state service refuses each node alone, with 503 at once; its open watches wait.
+    refused: Vec<u64>,
+    /// How much longer it takes a new leader to read its predecessors' notes.
+    slow_books: u64,
+    /// How much later than usual all its answers come.
+    slow_answers: u64,
+    /// Until when a part of the transactions gets no answer and is carried out late, after newer ones.
+    late_writes: u64,
+    /// Until when a part of the reports comes once more, up to two leases later.
+    late_reports: u64,
+    /// Until when the state service takes its time.
+    slow_store: u64,
+    /// When it goes down for all, and until when.
+    outage_at: Option<(u64, u64)>,
+    /// Until when anything of that lasts.
+    trouble: u64,
+    /// Transactions that were carried out late, copies of reports, and what deaf machines did not hear.
+    late_applied: usize,
+    reports_again: usize,
+    unheard: usize,
     cut_workers: Vec<u64>,
     cut_mesh: Vec<u64>,
     /// A zone with a node in it that is cut off, and until when.
@@ -297,6 +325,17 @@
             lives: vec![0; NODES],
             born: vec![0; NODES],
             cut_store: vec![0; NODES],
+            refused: vec![0; NODES],
+            slow_books: 0,
+            slow_answers: 0,
+            late_writes: 0,
+            late_reports: 0,
+            slow_store: 0,
+            outage_at: None,
+            trouble: 0,
+            late_applied: 0,
+            reports_again: 0,
+            unheard: 0,
             cut_workers: vec![0; NODES],
             cut_mesh: vec![0; NODES],
             zone_cut: (0, String::new(), 0),
@@ -378,6 +417,8 @@
             report_at: self.now + 500,
             flying: None,
             cut_until: 0,
+            deaf_until: 0,
+            lost_starts: BTreeSet::new(),
             gone: false,
             drift,
             images: BTreeSet::new(),
@@ -613,6 +654,17 @@
                     if first && index == self.late_key.0 {
                         time = self.late_key.1;
                     }
+                    if matches!(tag, coordination::Tag::Books { .. }) {
+                        time += self.slow_books;
+                    }
+                    let written = matches!(request, StateRequest::Txn(_));
+                    if written && self.late_writes > self.now && self.rng.random_bool(0.15) {
+                        // Nobody waits for an answer that long.
+                        time += self.rng.random_range(2000..12_000);
+                        self.late_applied += 1;
+                    } else if self.slow_store > self.now {
+                        time += self.rng.random_range(20..1200);
+                    }
                     let sent_and_ticket = sent << 32 | ticket;
                     let packet = Box::new((tag, request));
                     if let Some(time) = self.copy_at() {
@@ -1036,6 +1088,7 @@
 
     fn answer(&mut self, index: usize, life: u64, id: AskId, answer: Answer) {
         match self.asks.remove(&(index, life, id)) {
+            Some(Asked::Report(at, ..)) if self.deaf(at) => {}
             Some(Asked::Report(at, session, number)) => {
                 let cut = self.cut_between(index, at);
                 if let Some(time) = self.arrival(cut) {
@@ -1090,6 +1143,7 @@
             self.let_in.push(now);
         }
         told.accepted = true;
+        told.answered_at = now;
         told.accepted_at.get_or_insert(now);
         let view: JobView = protocol::decode(&answer.body).expect("a job's state");
         let ended = |status| matches!(status, Some(JobStatus::Done | JobStatus::Cancelled));
@@ -1138,6 +1192,10 @@
 
     fn ask(&mut self, id: JobId, ask: Ask) {
         let index = self.rng.random_range(0..NODES);
+        self.ask_at(index, id, ask);
+    }
+
+    fn ask_at(&mut self, index: usize, id: JobId, ask: Ask) {
         if self.frozen[index] > self.now {
             // It gets no answer in time and asks again.
             return;
@@ -1286,10 +1344,11 @@
             self.nodes[node].is_some()
                 && self.born[node] + 5000 <= self.now
                 && self.cut_store[node] + 5000 <= self.now
+                && self.refused[node] + patience <= self.now
                 && self.cut_workers[node] + patience <= self.now
                 && self.frozen[node] + 5000 <= self.now
         };
-        if self.store.down_until + patience > self.now
+        if self.store.down_until.max(self.trouble) + patience > self.now
             || !(0..NODES).all(settled)
             || self.zone_cut.2 + patience > self.now
         {
@@ -1327,7 +1386,15 @@
     fn fault(&mut self) {
         let index = self.rng.random_range(0..NODES);
         let until = self.now + self.rng.random_range(2000..30_000);
-        match self.rng.random_range(0..13) {
+        match self.rng.random_range(0..20) {
+            kind @ 13..=17 => self.trouble(kind - 13, index, until),
+            18 | 19 => {
+                // Two that meet.
+                let first = self.rng.random_range(0..5);
+                let second = (first + self.rng.random_range(1..5)) % 5;
+                self.trouble(first, index, until);
+                self.trouble(second, index, until);
+            }
             11 => self.ends(&[index]),
             12 => self.ends(&[0, 1, 2]),
             10 => {
@@ -1353,11 +1420,7 @@
                 }
             }
             2 => {
-                // After an outage all leases get their full time again.
-                self.store.down_until = until;
-                for (end, life) in self.store.leases.values_mut() {
-                    *end = until + *life;
-                }
+                self.outage(until);
             }
             3 => self.cut_store[index] = until,
             4 => self.cut_workers[index] = until,
@@ -1374,6 +1437,42 @@
         }
     }
 
+    /// One of the troubles that users have seen meet others.
+    fn trouble(&mut self, kind: usize, index: usize, until: u64) {
+        self.trouble = self.trouble.max(until);
+        let leader = self.leader.unwrap_or(index);
+        match kind {
+            0 => self.late_writes = until,
+            1 => self.late_reports = until,
+            2 => {
+                let until = until.max(self.now + self.rhythm.lease + 5000);
+                self.trouble = self.trouble.max(until);
+                let zone = ["a", "b"][self.rng.random_range(0..2)];
+                for worker in self.workers.iter_mut().filter(|w| w.zone == zone) {
+                    worker.deaf_until = until;
+                }
+            }
+            3 => self.slow_store = until,
+            // The leader loses the state service and the members, not its workers or users, or is refused alone.
+            _ if self.rng.random_bool(0.5) => {
+                self.cut_store[leader] = until;
+                self.cut_mesh[leader] = until;
+            }
+            _ => self.refused[leader] = until,
+        }
+    }
+
+    /// The state service refuses the leader alone, and soon everybody, for longer than a cancellation may take.
+    fn refuse_all(&mut self) {
+        let cancel = self.rhythm.cancel;
+        let leader = self.leader.unwrap_or(0);
+        let from = self.now + self.rng.random_range(0..cancel / 2);
+        let until = from + cancel + self.rng.random_range(1000..10_000);
+        self.refused[leader] = until;
+        self.outage_at = Some((from, until));
+        self.trouble = self.trouble.max(until);
+    }
+
     fn handle(&mut self, what: What) {
         // What came meanwhile and what has timed out come all at once, in any order.
         if let Some(index) = Self::whose(&what)
@@ -1410,15 +1509,16 @@
                 let (sent_at, ticket) = (sent_and_ticket >> 32, sent_and_ticket & 0xffff_ffff);
                 let (tag, request) = *packet;
                 // What was sent within the old limits, and comes late, is refused.
-                if self.lives[index] != life
+                let late = sent_at + self.born[index] + 2000 < self.now;
+                if (self.lives[index] != life || late)
                     && let StateRequest::Txn(txn) = &request
                     && !self.store.limits.hold(txn)
                 {
                     return;
                 }
-                if self.store.down_until > self.now {
+                if self.refuses(index) {
                     if matches!(request, StateRequest::Changes { hold_ms, .. } if hold_ms > 0) {
-                        let until = self.store.down_until;
+                        let until = self.store.down_until.max(self.refused[index]);
                         self.watches
                             .push((index, life, tag, request, sent_and_ticket, until));
                         return;
@@ -1499,6 +1599,10 @@
                 if self.workers[at].gone {
                     return;
                 }
+                if self.deaf(at) {
+                    self.workers[at].lost_starts.extend(&tag.starts);
+                    return;
+                }
                 let mut executed = true;
                 if let Some(orders) = orders {
                     let worker = &mut self.workers[at];
@@ -1594,6 +1698,28 @@
         }
     }
 
+    /// Whether what is sent to a machine is lost.
+    fn deaf(&mut self, at: usize) -> bool {
+        let deaf = self.workers[at].deaf_until > self.now;
+        self.unheard += usize::from(deaf);
+        deaf
+    }
+
+    /// Whether the state service answers this node with 503.
+    fn refuses(&self, index: usize) -> bool {
+        self.store.down_until.max(self.refused[index]) > self.now
+    }
+
+    /// It is down for all; afterwards all leases get their full time again.
+    fn outage(&mut self, until: u64) {
+        self.store.expire(self.now);
+        let until = until.max(self.store.down_until);
+        self.store.down_until = until;
+        for (end, life) in self.store.leases.values_mut() {
+            *end = until + *life;
+        }
+    }
+
     /// The version of the leader's key, and the term.
     fn leadership(&self) -> (Option<u64>, u64) {
         let leader = self.store.row("shared/leader").map(|row| row.version);
@@ -1604,6 +1730,7 @@
 
     fn reply(&mut self, index: usize, life: u64, ticket: u64, command: Command) {
         if let Some(time) = self.arrival(self.cut_store[index]) {
+            let time = time + self.slow_answers;
             let tag = life | ticket << 20;
             self.at(time, What::ToNode(index, tag, Box::new(command)));
         }
@@ -1645,15 +1772,31 @@
                         let copied = Box::new(report.clone());
                         self.at(time, What::ReportAt(at, node, copied, 0));
                     }
+                    if self.late_reports > self.now && self.rng.random_bool(0.3) {
+                        let later = self.rng.random_range(2000..2 * self.rhythm.lease);
+                        // To whoever is asked by then.
+                        let node = self.rng.random_range(0..NODES);
+                        let copied = Box::new(report.clone());
+                        self.reports_again += 1;
+                        self.at(now + later, What::ReportAt(at, node, copied, 0));
+                    }
                     self.at(time, What::ReportAt(at, node, Box::new(report), now));
                 }
             }
         }
+        if let Some((_, until)) = self.outage_at.take_if(|(from, _)| *from <= self.now) {
+            self.outage(until);
+        }
         self.store.expire(self.now);
         if self.store.down_until <= self.now {
             for (index, life, tag, request, sent_and_ticket, until) in
                 std::mem::take(&mut self.watches)
             {
+                if self.refused[index] > self.now {
+                    self.watches
+                        .push((index, life, tag, request, sent_and_ticket, until));
+                    continue;
+                }
                 let (sent_at, ticket) = (sent_and_ticket >> 32, sent_and_ticket & 0xffff_ffff);
                 let mut request = request;
                 if until <= self.now
@@ -1685,7 +1828,7 @@
         for worker in &self.workers {
             for (task, on) in &worker.tasks {
                 let told = self.jobs[&task.job].1.cancelled_at;
-                if on.state == TaskState::Running
+                if matches!(on.state, TaskState::Running | TaskState::Saving)
                     && let Some(told_at) = told
                 {
                     assert!(
@@ -1741,7 +1884,7 @@
 /// What happened in a history: relayed requests that were answered, leaders that stood still, and that
 /// resigned, starts of tasks that had to wait for other jobs, records under several keys, writes
 /// refused for their size, users sent away with a turn, ends that were back within a second, late copies.
-type Seen = [usize; 9];
+type Seen = [usize; 12];
 
 /// Plays a history; what happened, and what all that was sent hashes to.
 fn play(seed: u64) -> (Seen, u64) {
@@ -1761,6 +1904,12 @@
                 world.submit(spec);
             }
         }
+        // Many while the state service refuses the leader alone, and soon everybody.
+        let cancelled = if world.outage_at.is_some() {
+            0.1
+        } else {
+            0.008
+        };
         let ids: Vec<JobId> = world.jobs.keys().copied().collect();
         for id in ids {
             // Those of a flood ask now and then, and come back when they were told to.
@@ -1774,11 +1923,14 @@
             let retry = (!told.accepted).then(|| Box::new(spec.clone()));
             if let Some(spec) = retry {
                 world.ask(id, Ask::Submit(spec));
-            } else if world.rng.random_bool(0.008) {
+            } else if world.rng.random_bool(cancelled) {
                 world.ask(id, Ask::Cancel(id));
             }
         }
         world.count_replicas();
+        if seed % 5 == 1 && second == 40 {
+            world.refuse_all();
+        }
         if second > 10 && world.rng.random_bool(0.12) {
             world.fault();
         }
@@ -1826,6 +1978,15 @@
             );
         }
     }
+    for (id, (_, told)) in &world.jobs {
+        let answered = told.answered_at + KNOWN >= world.now;
+        let asked = told.accepted && !world.flood.contains(id);
+        assert!(
+            answered || !asked,
+            "forgotten: {id}, last answered at {}",
+            told.answered_at
+        );
+    }
     world.check_whole();
     // The least served team, of what its limit allows.
     for (asked, up) in world.replicas {
@@ -1845,6 +2006,9 @@
         world.sent_away,
         world.quick_ends,
         world.copies,
+        world.late_applied,
+        world.reports_again,
+        world.unheard,
     ];
     (seen, world.trace.finish())
 }
@@ -1867,7 +2031,7 @@
     let first = number("FIRST").unwrap_or(0);
     let seeds: Vec<u64> = (first..number("HISTORIES").unwrap_or(64)).collect();
     let at_once = std::thread::available_parallelism().map_or(1, |n| n.get());
-    let (mut seen, mut broken) = ([0; 9], Vec::new());
+    let (mut seen, mut broken) = ([0; 12], Vec::new());
     for seeds in seeds.chunks(at_once) {
         std::thread::scope(|scope| {
             // A panic tells its thread's name, so the seed.
@@ -1882,7 +2046,7 @@
                 .collect();
             for (seed, played) in seeds.iter().zip(played) {
                 match played.join() {
-                    Ok(counts) => (0..9).for_each(|each| seen[each] += counts[each]),
+                    Ok(counts) => (0..12).for_each(|each| seen[each] += counts[each]),
                     Err(_) => broken.push(*seed),
                 }
             }
@@ -1899,7 +2063,13 @@
         sent_away,
         quick_ends,
         copies,
+        late_applied,
+        reports_again,
+        unheard,
     ] = seen;
+    assert!(late_applied > 0, "no transaction was carried out late");
+    assert!(reports_again > 0, "no report came once more");
+    assert!(unheard > 0, "no machine was deaf");
     assert!(quick_ends > 0, "no process was back within a second");
     assert!(copies > 0, "no message came once more");
     assert!(sent_away > 0, "no user was sent away to come back");
@@ -2201,3 +2371,63 @@
         assert_eq!(listed, 0, "seed {seed}: forgotten at last");
     }
 }
+
+/// The state service refuses the leader alone, the others confirm cancellations, and then it is down for all, for longer
+/// than a cancellation may take, while the workers report to the old leader, or to whom they find. What users were told is
+/// cancelled is gone in time all the same (checked every 25 ms), wherever in that sequence the outage begins: before
+/// the refused leader's lease ends, when there is no successor, as one takes over, while it reads the notes, and later.
+/// A successor that was reading them renewed workers without a word of what was cancelled, for as long as it might.
+#[test]
+fn cancellations_that_others_confirm_are_carried_out_though_the_state_service_goes_down() {
+    logging();
+    let mut confirmed = 0;
+    for seed in [0, 8, 10, 16] {
+        let Rhythm { cancel, lease, .. } = rhythm(seed);
+        let gaps = (100..2600).step_by(500).chain((2700..4600).step_by(100));
+        let room = cancel - lease;
+        let gaps = gaps.chain([6000, room - 500, room + 500, room + 3000, cancel - 1000]);
+        for (number, gap) in gaps.enumerate() {
+            let mut world = small_fleet(seed);
+            world.slow_books = 300;
+            world.run_until(8000);
+            for job in 1..=20 {
+                let mut spec = world.long_array(job, 1);
+                spec.cpus = 1.0;
+                world.submit(spec);
+            }
+            world.run_until(14_000);
+            assert_eq!(world.running().len(), 20, "seed {seed}");
+            let old = world.leader.expect("a node leads");
+            world.slow_answers = [0, 1000][number / 4 % 2];
+            world.run_until(16_000);
+            let at = world.now;
+            world.refused[old] = FOR_GOOD;
+            if number % 2 == 0 {
+                // The workers find nobody else.
+                for other in (0..NODES).filter(|other| *other != old) {
+                    world.cut_workers[other] = FOR_GOOD;
+                }
+            }
+            for job in 1..=20 {
+                world.run_until(at + gap * job / 21);
+                world.ask_at((old + 1) % NODES, JobId(job), Ask::Cancel(JobId(job)));
+            }
+            world.run_until(at + gap);
+            let longer = if number % 4 < 2 {
+                cancel + 10_000
+            } else {
+                2 * cancel
+            };
+            world.outage(at + gap + longer);
+            world.run_until(at + gap + longer + 5000);
+            world.refused[old] = 0;
+            world.run_until(at + gap + longer + cancel);
+            let told = world
+                .jobs
+                .values()
+                .filter(|(_, told)| told.cancelled_at.is_some());
+            confirmed += told.count();
+        }
+    }
+    assert!(confirmed > 1000, "{confirmed} cancellations confirmed");
+}
