Machine types and image hints are written over the version that is known

These two were conditional on the leader's key alone, so that one applied 2 to 12 s late, within the same term, followed a newer one.

Change: the directory keeps the versions of the types' keys, the notes those of the image hints; a write that got no answer has its key read before the next, as slots and pages have. The histories assert for every write of a node that it is conditional on its own key (the further keys of a long record stand and fall with it).

--- a/src/coordination/directory.rs
+++ b/src/coordination/directory.rs
@@ -108,6 +108,8 @@
     pub term: u64,
     pub term_version: u64,
     pub types: Option<(MachineTypes, u64)>,
+    /// The versions of the keys that they are kept under.
+    pub types_versions: HashMap<String, u64>,
     /// The agreed table of what the nodes may let in, and the version of its key.
     pub table: Option<(Table, u64)>,
     /// Where they are kept under several keys: by the number of those, and which one it is.
@@ -221,6 +223,13 @@
             *known = version;
             return Change::Deputy(label.to_owned(), version);
         }
+        if key.starts_with(store::TYPES) {
+            let known = self.types_versions.entry(key.to_owned()).or_default();
+            if *known >= version {
+                return Change::Nothing;
+            }
+            *known = version;
+        }
         if let Some((part, count)) = store::parse_types_key(key) {
             if let Ok(types) = serde_json::from_value::<MachineTypes>(value) {
                 self.types_parts.insert((count, part), types.types);
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -677,14 +677,10 @@
         let condition = leading.condition();
         let bytes = self.config.settings.state.value_bytes();
         for (key, value) in store::types_records(&self.types, bytes) {
-            let txn = Txn {
-                conditions: vec![condition.clone()],
-                writes: vec![Write::Put {
-                    key,
-                    value,
-                    lease: None,
-                }],
-            };
+            // One of this leader's that is applied late must not follow a newer one.
+            let known = self.directory.types_versions.get(&key);
+            let mut txn = Txn::only_if(condition.clone());
+            txn.put(key, known.copied().unwrap_or(0), value);
             self.state(
                 StateTag::Types,
                 StateRequest::Txn(txn),
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -274,7 +274,10 @@
         lease: u64,
     },
     Types,
-    Images,
+    Images {
+        lease: u64,
+        part: usize,
+    },
     Table {
         lease: u64,
     },
@@ -451,7 +454,8 @@
             StateTag::FenceCheck { lease } => self.fence_checked(lease, result),
             StateTag::Sweep { lease } => self.swept(lease, result),
             StateTag::Ends { lease } => self.ends_stored(lease, result),
-            StateTag::Types | StateTag::Images => {}
+            StateTag::Types => {}
+            StateTag::Images { lease, part } => self.images_noted(lease, part, result),
             StateTag::Table { lease } => self.table_stored(lease, result),
             StateTag::TableSettled { lease } => self.table_settled(lease, result),
             StateTag::DeputyGrant => self.deputy_granted(sent_at, result),
--- a/src/coordination/notes.rs
+++ b/src/coordination/notes.rs
@@ -93,6 +93,7 @@
 pub enum Doubt {
     Slot(u32),
     Page(JobId, PageNumber),
+    Images(usize),
 }
 
 impl Doubt {
@@ -100,6 +101,7 @@
         match self {
             Doubt::Slot(slot) => store::slot_key(slot),
             Doubt::Page(job, page) => store::page_key(job, page),
+            Doubt::Images(part) => store::images_key(part),
         }
     }
 }
@@ -122,6 +124,8 @@
     /// Pages whose deletion is under way.
     sweeping: Vec<(JobId, PageNumber)>,
     images_at: Millis,
+    /// The keys that tell of images.
+    images: Vec<Slot>,
     /// Keys to ask for again, and when.
     doubts: Vec<(Millis, Doubt)>,
 }
@@ -143,6 +147,7 @@
             swept_at: 0,
             sweeping: Vec::new(),
             images_at: 0,
+            images: Vec::new(),
             doubts: Vec::new(),
         }
     }
@@ -150,8 +155,12 @@
 
 impl Notes {
     /// Goes on where the predecessors' entries end. `entries`: slot, version, record.
-    pub fn inherit(entries: &[(u32, u64, LogRecord)], books: &mut Books) -> Self {
-        let mut notes = Notes::default();
+    /// `images`: the versions of the keys that tell of those.
+    pub fn inherit(entries: &[(u32, u64, LogRecord)], images: &[u64], books: &mut Books) -> Self {
+        let mut notes = Notes {
+            images: images.iter().copied().map(Slot::Free).collect(),
+            ..Notes::default()
+        };
         for (slot, version, record) in entries {
             if let Some(known) = notes.slots.get_mut(*slot as usize) {
                 *known = Slot::Free(*version);
@@ -535,6 +544,7 @@
         };
         match (doubt, &mut leading.books) {
             (Doubt::Slot(slot), _) => leading.notes.slots[slot as usize] = Slot::Free(version),
+            (Doubt::Images(part), _) => leading.notes.images[part] = Slot::Free(version),
             (Doubt::Page(job, page), Some(books)) => books.enter_page(job, page, version),
             (Doubt::Page(..), None) => {}
         }
@@ -666,20 +676,24 @@
             return;
         }
         leading.notes.images_at = self.now;
-        let condition = leading.condition();
+        let (lease, condition) = (leading.lease, leading.condition());
         let Some(books) = &leading.books else { return };
+        let mut writes = Vec::new();
         for (part, record) in store::images_records(books, bytes).iter().enumerate() {
-            let txn = Txn {
-                conditions: vec![condition.clone()],
-                writes: vec![Write::Put {
-                    key: store::images_key(part),
-                    value: store::to_value(record),
-                    lease: None,
-                }],
-            };
-            // Whether it is stored does not matter: the next one comes soon.
+            let images = &mut leading.notes.images;
+            if images.len() == part {
+                images.push(Slot::Free(0));
+            }
+            // Whether it is stored does not matter: the next one comes soon, and none follows a newer one.
+            if let Slot::Free(version) = std::mem::replace(&mut images[part], Slot::Taken) {
+                let mut txn = Txn::only_if(condition.clone());
+                txn.put(store::images_key(part), version, store::to_value(record));
+                writes.push((part, txn));
+            }
+        }
+        for (part, txn) in writes {
             self.state(
-                StateTag::Images,
+                StateTag::Images { lease, part },
                 StateRequest::Txn(txn),
                 Urgency::Normal,
                 TXN_TIMEOUT,
@@ -687,6 +701,21 @@
         }
     }
 
+    pub(super) fn images_noted(
+        &mut self,
+        lease: u64,
+        part: usize,
+        result: Result<StateReply, StateError>,
+    ) {
+        match (self.fate(lease, result), &mut self.leading) {
+            (Some(Fate::Stored(version)), Some(leading)) => {
+                leading.notes.images[part] = Slot::Free(version);
+            }
+            (Some(_), _) => self.check(lease, Doubt::Images(part)),
+            (None, _) => {}
+        }
+    }
+
     /// Removes the notes on jobs that are over and of which nothing can be running.
     pub(super) fn sweep(&mut self) {
         let ops = self.config.settings.state.txn_ops as usize;
--- a/src/coordination/takeover.rs
+++ b/src/coordination/takeover.rs
@@ -29,6 +29,8 @@
     /// Slot, version, record.
     entries: Vec<(u32, u64, LogRecord)>,
     images: Vec<ImagesRecord>,
+    /// The versions of their keys, which are numbered from 0 on.
+    images_versions: Vec<u64>,
     last_key: Option<String>,
     /// All has been read.
     complete: bool,
@@ -54,6 +56,7 @@
             });
             self.entries.push((slot, row.version, record));
         } else if store::is_images_key(&row.key) {
+            self.images_versions.push(row.version);
             match serde_json::from_value(row.value) {
                 Ok(record) => self.images.push(record),
                 Err(error) => tracing::error!(key = row.key, %error, "images can't be read"),
@@ -249,7 +252,7 @@
         for &(id, page, version, _) in &found.pages {
             books.enter_page(id, page, version);
         }
-        leading.notes = Notes::inherit(&found.entries, &mut books);
+        leading.notes = Notes::inherit(&found.entries, &found.images_versions, &mut books);
         for job in closing {
             books.close_job(job);
         }
--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -637,6 +637,17 @@
                         !txn.writes.iter().any(of_a_leader) || txn.conditions.iter().any(held),
                         "a leader's write that a successor's could follow: {txn:?}"
                     );
+                    // One that is applied late, within the same term too, must not follow a newer one. The further
+                    // keys of a record stand and fall with it.
+                    let replaces = |write: &Write| {
+                        let (Write::Put { key, .. } | Write::Delete { key }) = write;
+                        key.starts_with("shared/part/")
+                            || txn.conditions.iter().any(|known| known.key == *key)
+                    };
+                    assert!(
+                        txn.writes.iter().all(replaces),
+                        "a write that could follow a newer one: {txn:?}"
+                    );
                 }
                 self.next += 1;
                 let ticket = self.next;
