Machines that report and hear nothing get nothing new until they answer

Cause: a machine whose reports arrive and to which everything else is lost loses its tasks with its lease and comes back in a new session, so that it looked idle and sound. It was given new tasks at once, which waited there for another lease.

Change: a start without an answer puts its machine in doubt: until the worker answers, or shows a term above the one the start was sent under, nothing else is placed there. The term is raised for it, as for the start itself.

--- a/src/bookkeeping/books.rs
+++ b/src/bookkeeping/books.rs
@@ -387,6 +387,9 @@
     /// How its tasks compare with other tasks of their jobs.
     pub pace: Mean,
     pub avoid_until: Millis,
+    /// A start that was sent there got no answer: until the worker answers or shows a token as high as this,
+    /// it may hear nothing, however often it reports. 0: none.
+    pub doubt: u64,
     /// Work was stopped here for this job: until then its room is nobody else's of the same or a
     /// lower priority. Without that the heap gave it back to the team it was taken from, and the
     /// next check took it again.
@@ -403,7 +406,11 @@
     }
 
     pub fn usable(&self) -> bool {
-        self.state == MachineState::Up && !self.draining && !self.silent && self.recall_at.is_none()
+        self.state == MachineState::Up
+            && !self.draining
+            && !self.silent
+            && self.recall_at.is_none()
+            && self.doubt <= self.token
     }
 
     /// Whether a start of this attempt may still reach the worker, whatever its reports say.
@@ -878,6 +885,7 @@
             sick: false,
             pace: Mean::default(),
             avoid_until: 0,
+            doubt: 0,
             held_for: None,
         });
         self.machine_index.insert(name.to_owned(), index);
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -167,8 +167,17 @@
             return;
         };
         if let Some(&index) = books.machine_index.get(&tag.machine) {
+            let machine = &mut books.machines[index.at()];
             if tag.orders {
-                books.machines[index.at()].busy = false;
+                machine.busy = false;
+            }
+            // Machines whose reports arrived and that heard nothing were given new tasks as soon as their
+            // leases had run out and they seemed idle: each waited for another lease there.
+            if result.is_some() {
+                machine.doubt = 0;
+            } else if !tag.starts.is_empty() {
+                machine.doubt = tag.term + 1;
+                books.changed = true;
             }
             books.attention.insert(index);
             for (task, attempt) in &tag.starts {
@@ -351,7 +360,8 @@
                 continue;
             }
             let heard = machine.heard_at.is_some_and(|at| at + silence > now);
-            fence |= heard && machine.attempts.iter().any(|a| a.fence > term);
+            let in_doubt = machine.doubt > term || machine.attempts.iter().any(|a| a.fence > term);
+            fence |= heard && in_doubt;
             let kept = |a: &Attempt| a.phase == Phase::Ended && a.settled && a.direct >= term;
             kept_back |= reclaim && heard && machine.attempts.iter().any(kept);
             if let Some(recall_at) = machine.recall_at {
--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -2442,3 +2442,33 @@
     }
     assert!(confirmed > 1000, "{confirmed} cancellations confirmed");
 }
+
+/// Half of the machines hear nothing, and their reports arrive. What is placed there is lost, and free again with the
+/// worker's next session; nothing else is placed there while the machine hears nothing, and it is used again after that.
+#[test]
+fn machines_that_hear_nothing_are_tried_once() {
+    for seed in [0, 8, 10, 16] {
+        let mut world = small_fleet(seed);
+        world.run_until(8000);
+        let Rhythm { lease, report, .. } = world.rhythm;
+        let until = 8000 + 5 * lease;
+        let zone_a = |worker: &&mut Worker| worker.zone == "a";
+        for worker in world.workers.iter_mut().filter(zone_a) {
+            worker.deaf_until = until;
+        }
+        let mut spec = world.long_array(1, 8);
+        spec.cpus = 16.0;
+        world.submit(spec);
+        world.run_until(until);
+        let lost: Vec<usize> = world.workers.iter().map(|w| w.lost_starts.len()).collect();
+        assert!(
+            lost.iter().any(|lost| *lost > 0),
+            "seed {seed}: none was tried"
+        );
+        assert!(lost.iter().all(|lost| *lost <= 1), "seed {seed}: {lost:?}");
+        let outside = world.running().len();
+        world.run_until(until + lease + 4 * report + 20_000);
+        let all = world.running().len();
+        assert!(outside >= 4 && all == 8, "seed {seed}: {outside} and {all}");
+    }
+}
