--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -71,22 +71,24 @@
         let now = self.now;
         let lease_ms = self.times.lease;
         let may_start = self.may_start();
-        let books_complete = self.sync.ok.is_some();
-        let leading = self.leading.as_mut()?;
+        let leading = self.leading.as_ref()?;
         if report.token > leading.term {
             // Somebody leads after us.
             self.want_sync();
             return None;
         }
         let (first_term, term) = (leading.first_term, leading.term);
-        let (Some(books), true) = (&mut leading.books, books_complete) else {
+        if leading.books.is_none() || self.sync.ok.is_none() {
             // The books are being made: the lease is renewed, the report comes again. A machine
-            // renewed now is covered by the silence that a takeover grants all machines.
+            // renewed now is covered by the silence that a takeover grants all machines. While the state
+            // service is down that may take until it must not be renewed any more: tasks that had been
+            // cancelled long before the takeover ran on until then, and a lease longer.
             return checkin.then(|| Orders {
                 token: term,
-                orders: Vec::new(),
+                orders: self.stops(report),
             });
-        };
+        }
+        let books = self.leading.as_mut()?.books.as_mut()?;
         let type_ix = TypeIx(books.type_names.get(&report.type_name)?);
         let zone = books.zone(&report.zone);
         let known = books.machine_index.contains_key(&report.machine);
@@ -100,10 +102,11 @@
         }
         let newer = (report.session, report.seq) > (machine.session, machine.seq);
         if !newer {
-            // An old report changes nothing, and its answer is dropped.
+            // An old report changes nothing. Its answer is dropped, unless the worker has only answered
+            // direct commands since.
             return checkin.then(|| Orders {
                 token: term,
-                orders: Vec::new(),
+                orders: self.stops(report),
             });
         }
         if machine.state == MachineState::Booting || machine.state == MachineState::Lost {
@@ -164,8 +167,17 @@
             return;
         };
         if let Some(&index) = books.machine_index.get(&tag.machine) {
+            let machine = &mut books.machines[index.at()];
             if tag.orders {
-                books.machines[index.at()].busy = false;
+                machine.busy = false;
+            }
+            // Machines whose reports arrived and that heard nothing were given new tasks as soon as their
+            // leases had run out and they seemed idle: each waited for another lease there.
+            if result.is_some() {
+                machine.doubt = 0;
+            } else if !tag.starts.is_empty() {
+                machine.doubt = tag.term + 1;
+                books.changed = true;
             }
             books.attention.insert(index);
             for (task, attempt) in &tag.starts {
@@ -348,7 +360,8 @@
                 continue;
             }
             let heard = machine.heard_at.is_some_and(|at| at + silence > now);
-            fence |= heard && machine.attempts.iter().any(|a| a.fence > term);
+            let in_doubt = machine.doubt > term || machine.attempts.iter().any(|a| a.fence > term);
+            fence |= heard && in_doubt;
             let kept = |a: &Attempt| a.phase == Phase::Ended && a.settled && a.direct >= term;
             kept_back |= reclaim && heard && machine.attempts.iter().any(kept);
             if let Some(recall_at) = machine.recall_at {
