Tests: a refused node leaves no question open; how long cancelled tasks are on their machines

A repeated submission, a repeated cancellation and an unknown id are answered within 2 s by a node that the state service refuses, while the others can and while nobody can.

--- a/tests/histories.rs
+++ b/tests/histories.rs
@@ -245,6 +245,8 @@
     late_applied: usize,
     reports_again: usize,
     unheard: usize,
+    /// How long after its user was told that its job is cancelled a task was last on its machine, at the most.
+    outlived: u64,
     cut_workers: Vec<u64>,
     cut_mesh: Vec<u64>,
     /// A zone with a node in it that is cut off, and until when.
@@ -336,6 +338,7 @@
             late_applied: 0,
             reports_again: 0,
             unheard: 0,
+            outlived: 0,
             cut_workers: vec![0; NODES],
             cut_mesh: vec![0; NODES],
             zone_cut: (0, String::new(), 0),
@@ -1842,6 +1845,7 @@
                 if matches!(on.state, TaskState::Running | TaskState::Saving)
                     && let Some(told_at) = told
                 {
+                    self.outlived = self.outlived.max(self.now - told_at);
                     assert!(
                         self.now <= told_at + self.rhythm.cancel,
                         "ran_cancelled: {task} at {}",
@@ -2394,6 +2398,7 @@
     let mut confirmed = 0;
     for seed in [0, 8, 10, 16] {
         let Rhythm { cancel, lease, .. } = rhythm(seed);
+        let mut outlived = 0;
         let gaps = (100..2600).step_by(500).chain((2700..4600).step_by(100));
         let room = cancel - lease;
         let gaps = gaps.chain([6000, room - 500, room + 500, room + 3000, cancel - 1000]);
@@ -2438,7 +2443,14 @@
                 .values()
                 .filter(|(_, told)| told.cancelled_at.is_some());
             confirmed += told.count();
+            outlived = outlived.max(world.outlived);
         }
+        // That it comes close shows that workers were renewed for as long as they may be.
+        tracing::info!(seed, outlived, cancel, "cancelled tasks");
+        assert!(
+            outlived * 4 > cancel * 3,
+            "seed {seed}: {outlived} ms of {cancel}"
+        );
     }
     assert!(confirmed > 1000, "{confirmed} cancellations confirmed");
 }
@@ -2472,3 +2484,48 @@
         assert!(outside >= 4 && all == 8, "seed {seed}: {outside} and {all}");
     }
 }
+
+/// Whatever is asked of a node that the state service refuses is answered at once: while the others can, by them, and while
+/// nobody can, with what is final or when to come back. That goes for repeated submissions and cancellations, and for
+/// jobs that nobody has submitted.
+#[test]
+fn a_refused_node_leaves_no_question_open() {
+    for seed in [0, 8, 10] {
+        let mut world = small_fleet(seed);
+        world.run_until(8000);
+        for job in 1..=2 {
+            let spec = world.long_array(job, 1);
+            world.submit(spec);
+        }
+        world.run_until(12_000);
+        world.ask(JobId(2), Ask::Cancel(JobId(2)));
+        world.run_until(13_000);
+        let spec = world.jobs[&JobId(1)].0.clone();
+        let unknown = world.long_array(3, 1);
+        world.jobs.insert(JobId(3), (unknown, Told::default()));
+        let node = world.leader.expect("a node leads");
+        world.refused[node] = FOR_GOOD;
+        for (at, down) in [
+            (13_100, false),
+            (15_000, false),
+            (25_000, false),
+            (40_000, true),
+        ] {
+            world.run_until(at);
+            if down {
+                world.outage(at + 10_000);
+            }
+            world.ask_at(node, JobId(1), Ask::Submit(Box::new(spec.clone())));
+            world.ask_at(node, JobId(1), Ask::Poll(JobId(1)));
+            world.ask_at(node, JobId(2), Ask::Cancel(JobId(2)));
+            world.ask_at(node, JobId(3), Ask::Poll(JobId(3)));
+            world.run_until(at + 2000);
+            let open = |asked: &Asked| matches!(asked, Asked::User(..));
+            assert!(!world.asks.values().any(open), "seed {seed}, at {at}");
+            let answered = |job| world.jobs[&JobId(job)].1.answered_at >= at;
+            assert_eq!(answered(1), !down, "seed {seed}, at {at}");
+            assert!(answered(2), "seed {seed}, at {at}: what is final is known");
+            assert!(!answered(3), "seed {seed}, at {at}: nobody submitted it");
+        }
+    }
+}
