Users who come while the state service is down are told to come back soon

A node without news goes on with its floor, an eighth of a follower's part, and worked the turns of those it sent away out by that: up to 30 s, or none within a minute and 30 s again. So users sat out the seconds in which they could have been let in.

Change: a node without news gives no new turns. Who is sent away comes back after 2 s, and a second more for each 200 that wait, 8 s at the most.

--- a/src/coordination/admission/door.rs
+++ b/src/coordination/admission/door.rs
@@ -24,6 +24,11 @@
 const DEPTH_S: f64 = 3.0;
 /// Demand is a mean that forgets over this time, in seconds; those who wait are to be let in within it.
 const WINDOW_S: f64 = 5.0;
+/// Who is sent away by a node without news comes back after that many seconds, a second later for each so many who
+/// wait, at the most after so many.
+const LAPSED_S: u32 = 2;
+const LAPSED_CROWD: u32 = 200;
+const LAPSED_MOST_S: u32 = 8;
 /// Turns told to the members at once.
 const TOLD: usize = 256;
 /// Submissions that are remembered for when they first came.
@@ -111,6 +116,8 @@
     queue: BTreeSet<(usize, Millis, JobId)>,
     filled_at: Millis,
     looked_at: Millis,
+    /// The node has no news: how soon anybody's turn comes up is not known.
+    lapsed: bool,
 }
 
 impl Door {
@@ -132,6 +139,7 @@
             at => now.saturating_sub(at) as f64 / 1000.0,
         };
         self.filled_at = now;
+        self.lapsed = parts.lapsed;
         for class in parts.classes.keys() {
             self.class(class);
         }
@@ -207,6 +215,15 @@
         let last = first + TRIES - SPARE;
         let at = match turn.filter(|turn| turn.at + LATE > now) {
             Some(turn) => turn.at.max(now + EARLY),
+            // By its floor, users sat out what time there was between two outages of the state service, and gave up.
+            None if self.lapsed => {
+                let after_s =
+                    (LAPSED_S + self.guests.len() as u32 / LAPSED_CROWD).min(LAPSED_MOST_S);
+                return Knock::Away {
+                    after_s,
+                    turn: false,
+                };
+            }
             None => {
                 let rate = self.rate(class).max(0.01);
                 let bucket = &self.buckets[class];
@@ -398,6 +415,7 @@
         let parts = Parts {
             classes: BTreeMap::from([(class("flood"), flood), (class("calm"), calm)]),
             rest,
+            lapsed: false,
         };
         let mut door = Door::default();
         door.fill(&parts, 1);
--- a/src/coordination/admission/mod.rs
+++ b/src/coordination/admission/mod.rs
@@ -223,7 +223,7 @@
         let error = if turn {
             "too much comes at once: come back when told"
         } else {
-            "too much comes at once: no turn within a minute"
+            "too much comes at once: no turn can be told"
         };
         let answer = Answer {
             retry_after_s: Some(after_s),
--- a/src/coordination/admission/table.rs
+++ b/src/coordination/admission/table.rs
@@ -244,6 +244,8 @@
     pub classes: BTreeMap<Class, f64>,
     /// For whoever comes.
     pub rest: f64,
+    /// The node is at its floor, as it has no news.
+    pub lapsed: bool,
 }
 
 impl Parts {
@@ -283,12 +285,15 @@
         now: Millis,
     ) -> Parts {
         let only = |rest| Parts {
-            classes: BTreeMap::new(),
             rest,
+            ..Parts::default()
         };
         let age = synced.map(|at| now.saturating_sub(at));
         let Some(age) = age.filter(|age| *age < LAPSED) else {
-            return only(floor);
+            return Parts {
+                lapsed: true,
+                ..only(floor)
+            };
         };
         let mut parts = match &self.table {
             None => only(equal),
@@ -299,6 +304,7 @@
                         .map(|(class, part)| (class.clone(), part))
                         .collect(),
                     rest,
+                    lapsed: false,
                 },
                 None => return only(floor),
             },
--- a/tests/histories/meetings.rs
+++ b/tests/histories/meetings.rs
@@ -948,3 +948,58 @@
         }
     }
 }
+
+/// Four jobs a second come while the state service is down for longer than users try. Those who still try when it is back
+/// are let in within seconds: none of them is told to wait for a turn that was worked out by what a node without
+/// news may take. With turns of up to 30 s, users sat out the ten seconds between two outages and gave up.
+#[test]
+fn users_who_come_while_the_state_service_is_down_are_let_in_soon_after() {
+    for seed in SEEDS {
+        let mut world = led(seed);
+        let mut first = HashMap::new();
+        let down = 70_000;
+        world.outage(world.now + down);
+        let (start, back) = (world.now, world.now + down);
+        let mut number = 0;
+        while world.now < back + 12_000 {
+            for _ in 0..4 {
+                if world.now < back {
+                    number += 1;
+                    first.insert(JobId(number), world.now);
+                    let spec = short(&mut world, number, 1, 2.0);
+                    world.jobs.insert(JobId(number), (spec, Told::default()));
+                }
+            }
+            for (id, came) in first
+                .iter()
+                .map(|(id, came)| (*id, *came))
+                .collect::<BTreeMap<_, _>>()
+            {
+                let away = world.away.get(&id).is_some_and(|at| *at > world.now);
+                let (spec, told) = &world.jobs[&id];
+                if !told.accepted && !away && came + 60_000 > world.now {
+                    let spec = Box::new(spec.clone());
+                    world.ask(id, Ask::Submit(spec));
+                }
+            }
+            world.run_until(world.now + 1000);
+        }
+        let trying = |came: &u64| came + 50_000 > back && *came >= start;
+        let trying: Vec<JobId> = first
+            .iter()
+            .filter(|(_, came)| trying(came))
+            .map(|(id, _)| *id)
+            .collect();
+        let accepted = trying.iter().filter(|id| world.jobs[id].1.accepted).count();
+        assert!(
+            trying.len() > 180,
+            "seed {seed}: {} users tried",
+            trying.len()
+        );
+        assert!(
+            accepted * 10 >= trying.len() * 9,
+            "seed {seed}: {accepted} of {}",
+            trying.len()
+        );
+    }
+}
