Work without aims is tried every 40 s although more urgent arrays wait

Cause: what nothing is aimed at is not started while a more urgent array finds no room, as it would be stopped at the next check.

Change: who is held to be in the way for that reason is tried all the same for 2 s every 40 s. What is stopped again costs a start now and then; what is not runs.

Result: what_nothing_is_aimed_at_does_not_wait_for_ever_beside_room fails before (never placed in 90 s) and passes.

--- a/src/bookkeeping/dues.rs
+++ b/src/bookkeeping/dues.rs
@@ -28,6 +28,10 @@
 const CAUGHT_UP: f64 = 1.0;
 /// How long arrays that found no room are taken to want it still.
 const PRESSED: Millis = 1500;
+/// Who is held to be in the way is tried all the same this often, for that long: the arrays that wait may have no use
+/// for the room that there is, and a start for nothing now and then costs little.
+const TRIED: Millis = 40_000;
+const TRIAL: Millis = 2000;
 /// Fewer units than this are nobody's due.
 const LEAST: f64 = 1e-6;
 
@@ -137,8 +141,11 @@
     /// the same, three of four starts were for nothing.
     pub fn in_the_way(&self, job: &Job, now: Millis) -> bool {
         let pressed = self.pressed.filter(|(_, until)| now < *until);
+        let waited = now.saturating_sub(job.seen_at);
+        let tried = waited >= TRIED && waited % TRIED < TRIAL;
         job.kind == Kind::Array
             && job.latest.is_empty()
+            && !tried
             && pressed.is_some_and(|(priority, _)| priority < job.priority)
     }
 }
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -708,3 +708,47 @@
     books.pull(index, &late, 0);
     assert!(books.job(index).waits.is_empty());
 }
+
+/// An urgent array waits that fits on no machine beside the replicas there. Work that nothing is aimed at was taken to be in
+/// its way for as long as it waited, though there was room for it that the array could not use.
+#[test]
+fn what_nothing_is_aimed_at_does_not_wait_for_ever_beside_room() {
+    let mut books = books((0.0, 0.0), (0.0, 0.0), 2);
+    let replicas = Submission {
+        kind: Kind::Service,
+        priority: Priority::Production,
+        spread: true,
+        spot: false,
+        ..job(1, "red", 2, 1.0)
+    };
+    books.add_job(&replicas, 0, 0);
+    scheduler::round(&mut books, 0);
+    run_all(&mut books, 0);
+    let urgent = Submission {
+        priority: Priority::High,
+        ..job(2, "red", 4, 16.0)
+    };
+    books.add_job(&urgent, 500, 500);
+    scheduler::round(&mut books, 500);
+    let small = Submission {
+        priority: Priority::Low,
+        ..job(3, "blue", 3, 1.0)
+    };
+    let small = books.add_job(&small, 1000, 1000).expect("a known team");
+    let mut placed = None;
+    for now in (1000..91_000).step_by(1000) {
+        scheduler::round(&mut books, now);
+        assert!(
+            scheduler::preempt(&books, now, Whose::All).is_empty(),
+            "nobody is in the way"
+        );
+        if books.job(small).waiting.is_empty() {
+            placed.get_or_insert(now);
+        }
+    }
+    let placed = placed.expect("there was room");
+    assert!(
+        placed > 10_000,
+        "at {placed}: first it may be stopped at the next check"
+    );
+}
