What only an old report tells a new leader of gets no work until it answers

Cause: a leader took the first report of a machine for news. An old one that is held back until a new leader begins may be of a machine that is gone: work that fits nowhere else was placed there and waited for a whole lease, and the room was taken to be there, so nothing was rented. Read off the code for the meeting of a held back report and a new leader.

Change: a first report under an earlier leader's term leaves the machine in doubt, as a start without an answer does: nothing is placed there until the worker shows the term or answers. To machines in doubt empty orders go out at once, also where nothing runs, so that costs a round trip. Machines that never served a leader are taken as before.

--- a/src/bookkeeping/books.rs
+++ b/src/bookkeeping/books.rs
@@ -387,8 +387,8 @@
     /// How its tasks compare with other tasks of their jobs.
     pub pace: Mean,
     pub avoid_until: Millis,
-    /// A start that was sent there got no answer: until the worker answers or shows a token as high as this,
-    /// it may hear nothing, however often it reports. 0: none.
+    /// A start that was sent there got no answer, or all that is known of it is a report which may be old: until the
+    /// worker answers or shows a token as high as this, it may hear nothing or be gone. 0: none.
     pub doubt: u64,
     /// Work was stopped here for this job: until then its room is nobody else's of the same or a
     /// lower priority. Without that the heap gave it back to the team it was taken from, and the
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -116,6 +116,11 @@
             books.changed = true;
         }
         let new_session = machine.session != 0 && report.session > machine.session;
+        // It served leaders before this one and has not seen this one's term: the report may be an old one, of a machine
+        // that is gone. Work that was placed there waited for a whole lease.
+        if machine.heard_at.is_none() && (1..first_term).contains(&report.token) {
+            machine.doubt = first_term;
+        }
         machine.session = report.session;
         machine.seq = report.seq;
         machine.token = machine.token.max(report.token);
@@ -229,7 +234,8 @@
         for index in machines {
             let number = index.at();
             let machine = &books.machines[number];
-            if machine.state != MachineState::Up || machine.attempts.is_empty() {
+            let in_doubt = machine.doubt > machine.token;
+            if machine.state != MachineState::Up || (machine.attempts.is_empty() && !in_doubt) {
                 continue;
             }
             drop_unsent(books, index, self.now);
@@ -262,12 +268,13 @@
                 }
             }
             // Orders without any order make the worker see the term, and what an earlier one may
-            // have sent is settled at once.
+            // have sent is settled at once, as is whether the machine is there and hears.
             let unsettled = machine.token < *term
-                && machine
-                    .attempts
-                    .iter()
-                    .any(|attempt| attempt.fence > machine.token);
+                && (in_doubt
+                    || machine
+                        .attempts
+                        .iter()
+                        .any(|attempt| attempt.fence > machine.token));
             if orders.is_empty() && starts.is_empty() && !unsettled {
                 continue;
             }
--- a/tests/histories/main.rs
+++ b/tests/histories/main.rs
@@ -231,6 +231,8 @@
     /// The job, whether it is to be cancelled, and what its user knew.
     User(JobId, bool, Before),
     Report(usize, u64, u64),
+    /// Something odd, and what it may be answered.
+    Odd(&'static [u16]),
     /// The node that relays, its life, and the number of the request there.
     Relay(usize, u64, AskId),
 }
@@ -285,6 +287,8 @@
     looks: usize,
     muted: usize,
     held_up: usize,
+    /// Odd requests that were answered, by node and status.
+    odd: BTreeMap<(usize, u16), usize>,
     /// How often each task was started.
     starts_of: HashMap<TaskId, usize>,
     /// How long after its user was told that its job is cancelled a task was last on its machine, at the most.
@@ -392,6 +396,7 @@
             looks: 0,
             muted: 0,
             held_up: 0,
+            odd: BTreeMap::new(),
             starts_of: HashMap::new(),
             outlived: 0,
             cut_workers: vec![0; NODES],
@@ -1240,6 +1245,13 @@
                     self.later(asker, asker_life, time, command);
                 }
             }
+            Some(Asked::Odd(allowed)) => {
+                assert!(
+                    allowed.contains(&answer.status),
+                    "an odd request got {answer:?}"
+                );
+                *self.odd.entry((index, answer.status)).or_default() += 1;
+            }
             // Its user has left.
             Some(Asked::User(..)) if self.held_back > 0 => {}
             Some(Asked::User(job, cancel, before)) => self.told(job, cancel, before, &answer),
@@ -1361,6 +1373,15 @@
         self.step(index, life, Command::Ask(self.next_ask, ask));
     }
 
+    /// Something odd is asked, which may be answered with these only.
+    fn ask_odd(&mut self, index: usize, ask: Ask, allowed: &'static [u16]) {
+        self.next_ask += 1;
+        let life = self.lives[index];
+        self.asks
+            .insert((index, life, self.next_ask), Asked::Odd(allowed));
+        self.step(index, life, Command::Ask(self.next_ask, ask));
+    }
+
     fn some_job(&mut self, number: u64) -> Submission {
         let service = self.rng.random_bool(0.3);
         let zone = ["a", "b"][self.rng.random_range(0..2)];
--- a/tests/histories/meetings.rs
+++ b/tests/histories/meetings.rs
@@ -1003,3 +1003,159 @@
         );
     }
 }
+
+/// Jobs that can never run, of a kind drawn by chance: unknown team, type or zone, too large for any machine in one way or
+/// another, a service beyond its team's limit, one that awaits what nobody submitted.
+fn never_runs(world: &mut World, number: u64) -> Submission {
+    let spec = world.long_array(number, 2);
+    match world.rng.random_range(0..9) {
+        0 => Submission {
+            team: "nobody".into(),
+            ..spec
+        },
+        1 => Submission {
+            types: Some(vec!["z9".into()]),
+            ..spec
+        },
+        2 => Submission {
+            types: Some(Vec::new()),
+            ..spec
+        },
+        3 => Submission {
+            zone: Some("nowhere".into()),
+            ..spec
+        },
+        4 => Submission { cpus: 16.5, ..spec },
+        5 => Submission {
+            ram_gb: 64.5,
+            ..spec
+        },
+        6 => Submission { gpus: 1.0, ..spec },
+        7 => Submission {
+            kind: Kind::Service,
+            tasks: 7,
+            ..red(spec)
+        },
+        _ => Submission {
+            awaits: vec![JobId(999_999)],
+            ..spec
+        },
+    }
+}
+
+/// Odd requests at a leading, a following and a refused node, also while answers are lost and writes come late: jobs that can never
+/// run, submissions of known jobs again with the same and with another body, cancellations of what is done or cancelled, and
+/// whatever is asked of jobs that nobody submitted. Each is answered as the protocol says, and none leaves a trace.
+#[test]
+fn odd_requests_are_answered_as_the_protocol_says_in_any_trouble() {
+    for seed in [0, 8, 10] {
+        for trouble in 0..3 {
+            let mut world = led(seed);
+            let spec = world.long_array(1, 2);
+            world.submit(spec);
+            let spec = short(&mut world, 2, 1, 1.0);
+            world.submit(spec);
+            let spec = world.long_array(3, 2);
+            world.submit(spec);
+            world.run_until(14_000);
+            world.ask(JobId(3), Ask::Cancel(JobId(3)));
+            world.ask(JobId(2), Ask::Poll(JobId(2)));
+            world.run_until(15_000);
+            assert_eq!(
+                world.jobs[&JobId(2)].1.last,
+                Some(JobStatus::Done),
+                "seed {seed}"
+            );
+            let refused = (leader(&world) + 1) % NODES;
+            world.refused[refused] = FOR_GOOD;
+            match trouble {
+                1 => world.lost_answers = FOR_GOOD,
+                2 => world.late_writes = FOR_GOOD,
+                _ => {}
+            }
+            for number in 1000..1060 {
+                for node in 0..NODES {
+                    let odd = never_runs(&mut world, number);
+                    world.ask_odd(node, Ask::Submit(Box::new(odd)), &[422, 503]);
+                    let id = JobId(1 + number % 3);
+                    let mut again = world.jobs[&id].0.clone();
+                    if number % 2 == 0 {
+                        again = Submission {
+                            id,
+                            ..never_runs(&mut world, number)
+                        };
+                    }
+                    world.ask_odd(node, Ask::Submit(Box::new(again)), &[200, 503]);
+                    let ended = JobId(2 + number % 2);
+                    world.ask_odd(node, Ask::Cancel(ended), &[200]);
+                    world.ask_odd(node, Ask::Poll(ended), &[200]);
+                    world.ask_odd(node, Ask::Cancel(JobId(number)), &[404, 503]);
+                    world.ask_odd(node, Ask::Poll(JobId(number)), &[404, 503]);
+                }
+                world.run_until(world.now + 300);
+            }
+            world.run_until(world.now + 5000);
+            for node in 0..NODES {
+                for status in [200, 404, 422] {
+                    let answered = world.odd.get(&(node, status)).copied().unwrap_or(0);
+                    assert!(
+                        answered >= 30,
+                        "seed {seed}, {trouble}: {status} at {node}: {answered}"
+                    );
+                }
+            }
+            assert!(
+                !world
+                    .asks
+                    .values()
+                    .any(|asked| matches!(asked, Asked::Odd(_))),
+                "all are answered"
+            );
+            let traces = world
+                .store
+                .keys
+                .keys()
+                .filter(|key| key.starts_with("shared/job/j-00"));
+            assert_eq!(traces.count(), 3, "seed {seed}");
+        }
+    }
+}
+
+/// A machine that is gone is brought to life for a new leader by an old report, just as work comes that fits nowhere else. A
+/// leader that took the report's word had the work wait there for a whole lease.
+#[test]
+fn a_machine_that_only_an_old_report_tells_of_gets_no_work() {
+    for seed in SEEDS {
+        let mut world = led(seed);
+        let Rhythm { lease, .. } = world.rhythm;
+        let mut spec = world.long_array(1, 7);
+        spec.cpus = 16.0;
+        world.submit(spec);
+        world.run_until(14_000);
+        let used: BTreeSet<usize> = world.running().values().map(|(_, at)| *at).collect();
+        let idle = (0..8).find(|at| !used.contains(at)).expect("one is idle");
+        // It reports until it goes, and the one who led has no time to tell anybody.
+        world.keep_reports = FOR_GOOD;
+        world.run_until(14_000 + 2 * world.rhythm.report);
+        world.kept_reports.retain(|(at, _)| *at == idle);
+        assert!(!world.kept_reports.is_empty(), "seed {seed}");
+        let report = world.kept_reports.pop().expect("the last one");
+        world.kept_reports = vec![report];
+        world.keep_reports = 0;
+        let now = world.now;
+        let gone = &mut world.workers[idle];
+        (gone.gone, gone.gone_at) = (true, now);
+        let old = end_leader(&mut world, 300);
+        let mut spec = world.long_array(2, 1);
+        spec.cpus = 16.0;
+        world.jobs.insert(JobId(2), (spec.clone(), Told::default()));
+        world.ask_at((old + 1) % NODES, JobId(2), Ask::Submit(Box::new(spec)));
+        world.run_until(now + 3000);
+        while of_job(&world, 2).is_empty() && world.now < now + 4 * lease {
+            world.run_until(world.now + 100);
+        }
+        assert!(world.reports_kept > 0, "seed {seed}: no old report");
+        let waited = world.now - now;
+        assert!(waited < 4000 + lease / 2, "seed {seed}: {waited} ms");
+    }
+}
