A job comes back to machines that failed it after a while

Cause: a job keeps away from the last four machines on which it failed until a task of it gets somewhere.

Change: it keeps away for 40 s from its last failure.

Result: a_job_comes_back_to_a_machine_that_failed_it_once fails before (never placed in 90 s) and passes; mistaken jobs and faulty machines are told apart as before.

--- a/src/bookkeeping/blame.rs
+++ b/src/bookkeeping/blame.rs
@@ -4,7 +4,7 @@
 
 use super::{
     Millis,
-    books::{Books, JobIx, MachineIx, MachineState, Phase, TaskStatus},
+    books::{Books, Job, JobIx, MachineIx, MachineState, Phase, TaskStatus},
 };
 
 /// Machines on which a job must have failed, none of which failed another job that is not at fault
@@ -17,6 +17,8 @@
 const PART: usize = 3;
 /// Machines that a job keeps away from after failing there.
 const REMEMBERED: usize = 4;
+/// How long it does so: they may have been sound but for a while, and the only ones with room.
+const KEEP_AWAY: Millis = 40_000;
 /// How long a machine that failed a task is passed over.
 const AVOID: Millis = 10_000;
 /// A task that has run for this long got somewhere: those with a mistake fail at once.
@@ -24,11 +26,19 @@
 const BACKOFF: Millis = 250;
 const MAX_BACKOFF: Millis = 30_000;
 
+impl Job {
+    /// Whether its tasks keep away from the machine, on which one failed.
+    pub fn avoids(&self, on: MachineIx, now: Millis) -> bool {
+        now < self.failed_at + KEEP_AWAY && self.failed_on.contains(&on)
+    }
+}
+
 impl Books {
     /// A task of the job failed on the machine.
     pub fn failed(&mut self, index: JobIx, on: MachineIx, now: Millis) {
         let job = &mut self.jobs[index.at()];
         job.errors += 1;
+        job.failed_at = now;
         if !job.failed_on.contains(&on) {
             job.failed_on.push_back(on);
         }
--- a/src/bookkeeping/books.rs
+++ b/src/bookkeeping/books.rs
@@ -211,6 +211,8 @@
     pub pace: Mean,
     /// Machines on which it failed lately.
     pub failed_on: VecDeque<MachineIx>,
+    /// When it last failed.
+    pub failed_at: Millis,
 }
 
 impl Job {
@@ -784,6 +786,7 @@
             at_fault: false,
             pace: Mean::default(),
             failed_on: VecDeque::new(),
+            failed_at: 0,
         };
         let (to_start, to_end) = self.own_waits(&job);
         job.set_waits(&to_start, to_end);
--- a/src/bookkeeping/scheduler.rs
+++ b/src/bookkeeping/scheduler.rs
@@ -144,7 +144,7 @@
             let fits = books.fits(entry, machine)
                 && machine.avoid_until <= now
                 && !books.kept_from(job, machine, now)
-                && !entry.failed_on.contains(&at);
+                && !entry.avoids(at, now);
             fits.then(|| (score(books, entry, machine, now), at))
         };
         let free = |at: MachineIx| !books.machine(at).holds(job, task);
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -752,3 +752,25 @@
         "at {placed}: first it may be stopped at the next check"
     );
 }
+
+/// A job's task failed on the only machine that has room, and the machine is sound again. The job kept away from it for good, and
+/// waited beside its room.
+#[test]
+fn a_job_comes_back_to_a_machine_that_failed_it_once() {
+    let mut books = books((0.0, 0.0), (0.0, 0.0), 1);
+    let index = books
+        .add_job(&job(1, "red", 1, 4.0), 0, 0)
+        .expect("a known team");
+    scheduler::round(&mut books, 0);
+    let on = MachineIx(0);
+    books.advance(on, 0, Phase::Ended, 1000);
+    books.requeue(index, 0, 1);
+    books.failed(index, on, 1000);
+    books.drop_attempt(on, 0, 1000);
+    let placed = (2000..91_000).step_by(1000).find(|now| {
+        scheduler::round(&mut books, *now);
+        books.job(index).waiting.is_empty()
+    });
+    let placed = placed.expect("there was room");
+    assert!(placed > 11_000, "at {placed}: others first");
+}
