What has waited for 75 s takes what room slow machines have

Cause: machines on which tasks take far longer than elsewhere get nothing new, and are returned once empty.

Change: what has waited for 75 s and found nothing else is placed on machines that are to be replaced for being slow (never on those that fail every task), fifty jobs a team at the most.

Result: what_waited_for_long_takes_a_slow_machine; the other scheduling tests as before.

--- a/src/bookkeeping/books.rs
+++ b/src/bookkeeping/books.rs
@@ -408,8 +408,12 @@
     }
 
     pub fn usable(&self) -> bool {
+        !self.draining && self.hears()
+    }
+
+    /// It is up and stays so, by all that is known, and orders reach it.
+    pub fn hears(&self) -> bool {
         self.state == MachineState::Up
-            && !self.draining
             && !self.silent
             && self.recall_at.is_none()
             && self.doubt <= self.token
@@ -928,8 +932,12 @@
 
     /// Whether the machine's type, zone and kind suit the job and its room a further task.
     pub fn fits(&self, job: &Job, machine: &Machine) -> bool {
-        machine.usable()
-            && (!machine.spot || job.spot)
+        machine.usable() && self.suits(job, machine)
+    }
+
+    /// The same, whether or not anything new is to be placed there.
+    pub fn suits(&self, job: &Job, machine: &Machine) -> bool {
+        (!machine.spot || job.spot)
             && job.allows_type(machine.type_ix)
             && job.need.fits_in(&self.room(machine))
             && job.allows_zone(machine.zone)
--- a/src/bookkeeping/scheduler.rs
+++ b/src/bookkeeping/scheduler.rs
@@ -34,6 +34,9 @@
 const FETCH_VARIES: f64 = 1.33;
 /// What a start takes besides.
 const START_S: f64 = 0.2;
+/// How long a job has waited when it takes what is left, and how many of a team's are looked at for that.
+const WAITED: Millis = 75_000;
+const AT_LAST: usize = 50;
 /// How many placements one round may make before others get their turn.
 const ROUND: usize = 200;
 
@@ -303,6 +306,54 @@
     if let Some(priority) = pressing {
         books.dues.press(priority, now);
     }
+    placed + at_last(books, now)
+}
+
+/// Puts what has waited for long, and found nothing else, on machines that are to be replaced for being slow: as long as
+/// they have other work they are not replaced, and late is better than never.
+fn at_last(books: &mut Books, now: Millis) -> usize {
+    let slow = |machine: &Machine| machine.draining && !machine.sick && machine.hears();
+    let machines = books.machines.iter().zip(0..);
+    let slow: Vec<MachineIx> = machines
+        .filter(|(machine, _)| slow(machine))
+        .map(|(_, at)| MachineIx(at))
+        .collect();
+    if slow.is_empty() {
+        return 0;
+    }
+    let queues = books
+        .teams
+        .iter()
+        .flat_map(|team| team.queue.iter().take(AT_LAST));
+    let jobs = queues.map(|(.., job)| *job);
+    let jobs: Vec<JobIx> = jobs
+        .filter(|job| books.job(*job).seen_at + WAITED <= now)
+        .collect();
+    let mut placed = 0;
+    for job in jobs {
+        for &on in &slow {
+            loop {
+                let (entry, machine) = (books.job(job), books.machine(on));
+                let team = &books.teams[entry.team.at()];
+                let Some(&task) = entry.waiting.first() else {
+                    break;
+                };
+                if entry.kind == Kind::Gang
+                    || entry.not_before > now
+                    || entry.open_slots() == 0
+                    || !team.allows(&entry.need)
+                    || !books.suits(entry, machine)
+                    || machine.avoid_until > now
+                    || entry.avoids(on, now)
+                    || machine.holds(job, task)
+                {
+                    break;
+                }
+                books.place(job, task, on, now);
+                placed += 1;
+            }
+        }
+    }
     placed
 }
 
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -774,3 +774,31 @@
     let placed = placed.expect("there was room");
     assert!(placed > 11_000, "at {placed}: others first");
 }
+
+/// The only machine with room is to be replaced for being slow, and stays as long as a replica runs there.
+#[test]
+fn what_waited_for_long_takes_a_slow_machine() {
+    let mut books = books((0.0, 0.0), (0.0, 0.0), 1);
+    let replica = Submission {
+        kind: Kind::Service,
+        priority: Priority::Production,
+        spot: false,
+        ..job(1, "red", 1, 4.0)
+    };
+    books.add_job(&replica, 0, 0);
+    scheduler::round(&mut books, 0);
+    run_all(&mut books, 0);
+    assert!(books.replace(MachineIx(0), 1, "is slow"));
+    let index = books
+        .add_job(&job(2, "red", 4, 4.0), 1000, 1000)
+        .expect("a known team");
+    let waiting = |books: &Books| books.job(index).waiting.len();
+    for now in (1000..75_000).step_by(1000) {
+        scheduler::round(&mut books, now);
+    }
+    assert_eq!(waiting(&books), 4, "it is to be replaced");
+    for now in (75_000..90_000).step_by(1000) {
+        scheduler::round(&mut books, now);
+    }
+    assert_eq!(waiting(&books), 1, "it holds three more");
+}
