--- /dev/null
+++ b/crates/served/src/log/tests.rs
@@ -0,0 +1,44 @@
+use super::*;
+
+const LOG: &str = r#"
+  10.0 n1 INFO dalelb::coordination::users: accepted job=j-000001 kind=Array class="thumbs" team="lab" tasks=4 cpus=0.5 gpus=0.0 estimate_s=10.0 awaits=[] due_s=9.0
+  11.0 n1 INFO dalelb::coordination::users: accepted job=j-000002 kind=Array class="thumbs" team="lab" tasks=4 cpus=0.5 gpus=0.0 estimate_s=10.0 awaits=[j-000001, j-000003]
+  12.0 n2 INFO dalelb::coordination::users: accepted job=j-000003 kind=Service class="front" team="web" tasks=2 cpus=4.0 gpus=0.0 estimate_s=0.0 awaits=[]
+  13.0 n1 INFO dalelb::coordination::admission: served team="lab" class="thumbs" came=3 sent_away=2 given_up=0 started=5 done=4 gave_way=1
+  14.0 n1 INFO dalelb::coordination::notes: done job=j-000001
+  20.0 n2 INFO dalelb::coordination::admission: served team="lab" class="thumbs" came=3 sent_away=2 given_up=2 started=1 done=0 gave_way=0
+  21.0 n2 INFO dalelb::coordination::admission: served team="web" class="front" came=1 sent_away=0 given_up=0 started=1 done=0 gave_way=0
+2026-12-01T00:00:00Z INFO dalelb::daemon: starting
+garbage
+"#;
+
+#[test]
+fn counts_go_on_across_leaders_and_shares_follow() {
+    let mut run = Run::default();
+    run.read(LOG);
+    let classes = run.classes();
+    let thumbs = &classes[&("lab".to_string(), "thumbs".to_string())];
+    assert_eq!(
+        (thumbs.started(), thumbs.done(), thumbs.gave_way()),
+        (6, 4, 1)
+    );
+    assert_eq!((thumbs.jobs, thumbs.tasks, thumbs.came()), (2, 8, 3));
+    // Half of the tasks, of half of those who asked.
+    assert!((thumbs.served() - 0.25).abs() < 1e-9, "{}", thumbs.served());
+    let front = &classes[&("web".to_string(), "front".to_string())];
+    assert!((front.served() - 0.5).abs() < 1e-9);
+    assert!(run.end > 1e9);
+}
+
+/// One replica that was started twice, and one that never ran.
+#[test]
+fn a_replica_counts_once_however_often_it_was_started() {
+    let mut run = Run::default();
+    run.read(LOG);
+    run.read(
+        "60.0 n1 DEBUG dalelb::coordination::fleet: runs task=j-000003/1 attempt=1\n\
+         70.0 n1 DEBUG dalelb::coordination::fleet: runs task=j-000003/1 attempt=2\n",
+    );
+    let front = &run.classes()[&("web".to_string(), "front".to_string())];
+    assert!((front.served() - 0.5).abs() < 1e-9, "{}", front.served());
+}
