In a small fleet a leader resigns only for a member that hears two workers more

Cause: a leader that hears few resigns for a member that hears a tenth of the fleet more. Below ten machines a tenth is none: one worker that sought about was enough, and machines that are gone count in the fleet until their leases have run out.

Change: two more at the least. From ten machines on nothing changes but there, as a tenth is one or more already.

--- a/src/coordination/reach.rs
+++ b/src/coordination/reach.rs
@@ -46,7 +46,9 @@
         let words = self.words.values();
         let others = words.filter(|(at, _)| at + WORD > now);
         match others.map(|(_, hears)| *hears).max() {
-            Some(hears) => hears > heard + all / MORE_PART,
+            // One more is no proof in a small fleet: workers seek about, and machines that are gone count in `all`
+            // until their leases have run out. Leaders resigned in turn, each before that.
+            Some(hears) => hears > heard + (all / MORE_PART).max(1),
             // Cut off from the members too: whoever can take over hears no less.
             None => heard * FEW.1 < all * FEW.0,
         }
--- a/src/coordination/reach/tests.rs
+++ b/src/coordination/reach/tests.rs
@@ -19,4 +19,12 @@
     assert!(reach.resign(30, 100, now));
     assert!(!reach.resign(60, 100, now));
     assert!(!reach.resign(45, 100, now + WORD), "the word is old");
+    // Nine machines of which most are gone: the others have found a member each, as workers do.
+    let mut reach = Reach {
+        deaf_since: Some(10_000),
+        ..Reach::default()
+    };
+    reach.heard("n1".into(), 4, now);
+    assert!(!reach.resign(3, 9, now), "one more");
+    assert!(reach.resign(2, 9, now));
 }
