--- a/src/coordination/directory.rs
+++ b/src/coordination/directory.rs
@@ -59,13 +59,14 @@
     }
 }
 
+/// What a node holds of each job for good, so it is kept small: jobs that are over outnumber all others before long.
 #[derive(Clone, Debug)]
 pub enum Entry {
-    Live(LiveJob),
+    Live(Box<LiveJob>),
     /// A job that it needs was cancelled: so it is, from then on, whatever its own record says. Each
     /// node derives that from two facts that never change, what the job awaits and how that ended, so
     /// no node can tell its user otherwise later, and nothing is left half done by a crash.
-    Doomed(LiveJob),
+    Doomed(Box<LiveJob>),
     /// Kept for good, with the time at which it was done.
     Final(JobStatus, Option<u64>),
 }
@@ -156,7 +157,7 @@
 
     pub fn live(&self) -> impl Iterator<Item = (JobId, &LiveJob)> {
         self.jobs.iter().filter_map(|(id, entry)| match entry {
-            Entry::Live(live) => Some((*id, live)),
+            Entry::Live(live) => Some((*id, &**live)),
             Entry::Doomed(_) | Entry::Final(..) => None,
         })
     }
@@ -172,7 +173,7 @@
     pub fn needed_by(&self, id: JobId) -> impl Iterator<Item = (JobId, &LiveJob)> {
         let all = self.needed_by.get(&id).into_iter().flatten();
         all.filter_map(|id| match self.jobs.get(id) {
-            Some(Entry::Live(live)) => Some((*id, live)),
+            Some(Entry::Live(live)) => Some((*id, &**live)),
             _ => None,
         })
     }
@@ -190,7 +191,7 @@
             self.doomed.pop_front();
         }
         self.doomed.iter().filter_map(|id| match self.jobs.get(id) {
-            Some(Entry::Doomed(job)) => Some((*id, job)),
+            Some(Entry::Doomed(job)) => Some((*id, &**job)),
             _ => None,
         })
     }
@@ -349,14 +350,14 @@
         (at_ms, parts, version): (u64, u32, u64),
         spec: Submission,
     ) -> Change {
-        let mut live = LiveJob {
+        let mut live = Box::new(LiveJob {
             version,
             at_ms,
             parts,
             left: 0,
             released_ms: at_ms,
             spec: Rc::new(spec),
-        };
+        });
         let spec = live.spec.clone();
         let mut doomed = false;
         for awaited in &spec.awaits {
--- a/src/coordination/directory/tests.rs
+++ b/src/coordination/directory/tests.rs
@@ -231,3 +231,9 @@
     assert_eq!(ended, Some(JobStatus::Cancelled));
     assert!(directory.split.is_empty());
 }
+
+/// Each node keeps an entry for every job there ever was.
+#[test]
+fn a_job_that_is_over_takes_little_memory() {
+    assert!(size_of::<Entry>() <= 24, "{} bytes", size_of::<Entry>());
+}
