--- a/crates/standin/src/state_service.rs
+++ b/crates/standin/src/state_service.rs
@@ -26,6 +26,9 @@
 /// How often a waiting watch looks whether leases have ended; writes wake it at once.
 const LEASE_CHECK: Duration = Duration::from_millis(50);
 
+/// Changes that the service keeps for watches.
+const KEPT_CHANGES: usize = 10_000;
+
 /// How fast the service takes requests and how long it needs.
 #[derive(Clone, Copy, Debug)]
 pub struct Pace {
@@ -130,6 +133,7 @@
     match query.starts.as_deref() {
         Some(schema::SHARED) => schema::SHARED,
         Some(schema::BOOKS) => schema::BOOKS,
+        Some(schema::QUOTA) => schema::QUOTA,
         other => panic!("an unexpected prefix {other:?}"),
     }
 }
@@ -165,9 +169,11 @@
 impl StateService {
     /// Serves on `listener` until the process ends.
     pub fn start(listener: TcpListener, limits: Limits, pace: Pace) -> Self {
+        let mut store = Store::new(limits);
+        store.kept = KEPT_CHANGES;
         let service = StateService {
             inner: Arc::new(Mutex::new(Inner {
-                store: Store::new(limits),
+                store,
                 counters: Counters::default(),
                 requests: RateLimit::new(pace.rps),
                 writes: RateLimit::new(pace.write_rps),
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -1,6 +1,9 @@
 //! A pure model of the state service: what it stores and what it answers.
 
-use std::{collections::BTreeMap, ops::Bound};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    ops::Bound,
+};
 
 use dalelb::protocol::state::*;
 use serde_json::Value;
@@ -46,7 +49,11 @@
     pub keys: BTreeMap<String, (Value, u64, Option<u64>)>,
     pub revision: u64,
     pub leases: BTreeMap<u64, (u64, u64)>,
-    pub log: Vec<(u64, Event)>,
+    pub log: VecDeque<(u64, Event)>,
+    /// So many changes are kept for watches; older ones are gone.
+    pub kept: usize,
+    /// The revision of the last change that is gone.
+    pub forgotten: u64,
     pub next_lease: u64,
     pub down_until: u64,
 }
@@ -58,7 +65,9 @@
             keys: BTreeMap::new(),
             revision: 0,
             leases: BTreeMap::new(),
-            log: Vec::new(),
+            log: VecDeque::new(),
+            kept: usize::MAX,
+            forgotten: 0,
             next_lease: 0,
             down_until: 0,
         }
@@ -92,7 +101,7 @@
         }
         for key in gone {
             self.keys.remove(&key);
-            self.log.push((
+            self.log.push_back((
                 self.revision,
                 Event::Delete {
                     key,
@@ -102,6 +111,15 @@
         }
     }
 
+    /// Lets go of changes beyond those that are kept.
+    fn forget(&mut self) {
+        while self.log.len() > self.kept {
+            if let Some((revision, _)) = self.log.pop_front() {
+                self.forgotten = revision;
+            }
+        }
+    }
+
     pub fn row(&self, key: &str) -> Option<Row> {
         let (value, version, _) = self.keys.get(key)?;
         Some(Row {
@@ -179,8 +197,9 @@
                             }
                         }
                     };
-                    self.log.push((self.revision, event));
+                    self.log.push_back((self.revision, event));
                 }
+                self.forget();
                 StateReply::Committed(self.revision)
             }
             StateRequest::Grant { life_ms } => {
@@ -205,10 +224,14 @@
                 after,
                 hold_ms,
             } => {
+                if *after < self.forgotten {
+                    return Some(StateReply::TooOld);
+                }
                 // Revisions only rise, so the log is in their order.
                 let first = self.log.partition_point(|(revision, _)| revision <= after);
-                let events: Vec<Event> = self.log[first..]
-                    .iter()
+                let events: Vec<Event> = self
+                    .log
+                    .range(first..)
                     .map(|(_, event)| event.clone())
                     .filter(|event| match event {
                         Event::Put { key, .. } | Event::Delete { key, .. } => {
--- a/src/bookkeeping/autoscaler.rs
+++ b/src/bookkeeping/autoscaler.rs
@@ -285,9 +285,7 @@
             for _ in 0..slots {
                 let mut asked = *budget;
                 asked.add(&job.need);
-                if (limit.cpus > 0.0 && asked.cpus > limit.cpus + 1e-6)
-                    || (limit.gpus > 0.0 && asked.gpus > limit.gpus + 1e-6)
-                {
+                if asked.cpus > limit.cpus + 1e-6 || asked.gpus > limit.gpus + 1e-6 {
                     break;
                 }
                 *budget = asked;
--- a/src/bookkeeping/books.rs
+++ b/src/bookkeeping/books.rs
@@ -102,13 +102,18 @@
     }
 }
 
+/// A limit as operators write it, where 0 means none.
+fn limit_of(amount: f64) -> f64 {
+    if amount > 0.0 { amount } else { f64::INFINITY }
+}
+
 /// A job's place in its team's queue.
 pub type QueueKey = (Priority, u64, JobIx);
 
 pub struct Team {
     pub name: String,
     pub guarantee: Amounts,
-    /// 0: no limit.
+    /// Infinite where there is none.
     pub limit: Amounts,
     pub booked: Amounts,
     /// Jobs with waiting tasks, the most urgent and oldest first.
@@ -118,9 +123,8 @@
 impl Team {
     /// Whether the team may have `more` on top of what is booked.
     pub fn allows(&self, more: &Amounts) -> bool {
-        let within = |limit: f64, booked: f64, more: f64| {
-            limit <= 0.0 || more <= 0.0 || booked + more <= limit + EPSILON
-        };
+        let within =
+            |limit: f64, booked: f64, more: f64| more <= 0.0 || booked + more <= limit + EPSILON;
         within(self.limit.cpus, self.booked.cpus, more.cpus)
             && within(self.limit.gpus, self.booked.gpus, more.gpus)
     }
@@ -555,9 +559,9 @@
                         ram_gb: 0.0,
                     },
                     limit: Amounts {
-                        cpus: team.cpus_max,
-                        gpus: team.gpus_max,
-                        ram_gb: 0.0,
+                        cpus: limit_of(team.cpus_max),
+                        gpus: limit_of(team.gpus_max),
+                        ram_gb: f64::INFINITY,
                     },
                     booked: Amounts::default(),
                     queue: BTreeSet::new(),
--- a/src/bookkeeping/dues.rs
+++ b/src/bookkeeping/dues.rs
@@ -269,7 +269,6 @@
             let flows: Vec<_> = seen.iter().filter(|((of, _), _)| of.at() == team).collect();
             let caps: Vec<f64> = flows.iter().map(|(_, (demand, ..))| *demand).collect();
             let limit = self.units(&self.teams[team].limit);
-            let limit = if limit > 0.0 { limit } else { f64::INFINITY };
             let share = (deserved * scale).max(least).min(limit);
             let parts = split(share, &caps);
             dues.extend(flows.iter().map(|(flow, _)| **flow).zip(parts));
--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -5,6 +5,7 @@
 pub mod books;
 pub mod dues;
 pub mod pace;
+pub mod quota;
 pub mod scheduler;
 pub mod store;
 
--- /dev/null
+++ b/src/bookkeeping/quota/plan.rs
@@ -0,0 +1,179 @@
+//! How the units of a limit are divided among cells.
+//!
+//! What runs comes first, then what the first waiting task of each cell needs at once (so that two gangs which each
+//! have half of what they need don't wait for each other), then what waits, in equal parts up to what each wants. What
+//! is left over is divided equally, ahead of demand, so that new work need not wait for a round trip.
+//!
+//! Units move from one cell to another only while a cell is short of what it wants and the limit has nothing free, or
+//! when the limit was lowered; then only what is not used moves, unless what runs is itself above the limit.
+
+use super::Units;
+
+/// A cell that wants this part more than it holds, as a divisor, is short.
+const SHORT: Units = 16;
+/// Spare units are handed out only where this part is missing, as a divisor.
+const SPARE: Units = 8;
+
+/// One cell's part of a limit.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Share {
+    /// What it may hold.
+    pub outstanding: Units,
+    /// What may be running.
+    pub used: Units,
+    /// That, what waits, and a margin.
+    pub wanted: Units,
+    /// What its first waiting work needs at once.
+    pub least: Units,
+    /// What its largest running task takes.
+    pub grain: Units,
+}
+
+/// What is to become of it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Move {
+    /// More that it gets now.
+    pub grant: Units,
+    /// What it is to come down to.
+    pub target: Units,
+}
+
+/// Divides a total equally, up to each one's cap.
+pub fn divide(total: Units, caps: &[Units]) -> Vec<Units> {
+    let mut parts = vec![0; caps.len()];
+    let mut rest = total;
+    loop {
+        let open: Vec<usize> = (0..caps.len())
+            .filter(|at| parts[*at] < caps[*at])
+            .collect();
+        let each = match rest.checked_div(open.len() as Units) {
+            None => return parts,
+            // What can't be divided goes to the first ones.
+            Some(each) => each.max(1),
+        };
+        for at in open {
+            let gain = each.min(caps[at] - parts[at]).min(rest);
+            parts[at] += gain;
+            rest -= gain;
+        }
+        if rest == 0 {
+            return parts;
+        }
+    }
+}
+
+/// What each cell keeps of what runs above the limit: equal parts, in whole tasks, so that no more has to stop than
+/// the limit asks for.
+fn keep(limit: Units, shares: &[Share]) -> Vec<Units> {
+    let used: Vec<Units> = shares.iter().map(|share| share.used).collect();
+    let mut parts = divide(limit, &used);
+    for (part, share) in parts.iter_mut().zip(shares) {
+        if *part < share.used {
+            *part -= part.checked_rem(share.grain).unwrap_or(0);
+        }
+    }
+    let mut rest = limit - parts.iter().sum::<Units>();
+    loop {
+        let mut given = false;
+        for (part, share) in parts.iter_mut().zip(shares) {
+            if share.grain > 0 && share.grain <= rest && *part + share.grain <= share.used {
+                *part += share.grain;
+                rest -= share.grain;
+                given = true;
+            }
+        }
+        if !given {
+            return parts;
+        }
+    }
+}
+
+/// What each cell should have of what is wanted.
+fn fill(limit: Units, shares: &[Share]) -> Vec<Units> {
+    let used: Vec<Units> = shares.iter().map(|share| share.used).collect();
+    let in_use: Units = used.iter().sum();
+    if in_use >= limit {
+        return keep(limit, shares);
+    }
+    let (mut parts, mut rest) = (used, limit - in_use);
+    let mut order: Vec<usize> = (0..shares.len()).collect();
+    order.sort_by_key(|at| (shares[*at].used, *at));
+    for at in order {
+        let least = shares[at].least;
+        if least <= rest && parts[at] + least <= shares[at].wanted {
+            parts[at] += least;
+            rest -= least;
+        }
+    }
+    let missing = shares.iter().zip(&parts);
+    let missing: Vec<Units> = missing
+        .map(|(share, part)| share.wanted.saturating_sub(*part))
+        .collect();
+    let more = divide(rest, &missing);
+    parts
+        .iter()
+        .zip(more)
+        .map(|(part, more)| part + more)
+        .collect()
+}
+
+/// Plans moves for all cells of one limit. What is granted never exceeds what is free.
+pub fn plan(limit: Units, shares: &[Share]) -> Vec<Move> {
+    let fill = fill(limit, shares);
+    let spare = limit - fill.iter().sum::<Units>();
+    let each = spare.checked_div(shares.len() as Units).unwrap_or(0);
+    let ideal: Vec<Units> = fill.iter().map(|part| part + each).collect();
+    let outstanding: Units = shares.iter().map(|share| share.outstanding).sum();
+    let mut free = limit.saturating_sub(outstanding);
+    let missing: Vec<Units> = shares
+        .iter()
+        .zip(&fill)
+        .map(|(share, fill)| short(share, *fill))
+        .collect();
+    let lowered = outstanding > limit;
+    let moves = missing.iter().sum::<Units>() > free;
+    let target = |share: &Share, ideal: Units| {
+        let least = match (lowered, moves) {
+            (true, _) => ideal,
+            (false, true) => ideal.max(share.used),
+            (false, false) => share.outstanding,
+        };
+        least.min(share.outstanding)
+    };
+    let mut planned: Vec<Move> = shares
+        .iter()
+        .zip(&ideal)
+        .map(|(share, ideal)| Move {
+            grant: 0,
+            target: target(share, *ideal),
+        })
+        .collect();
+    for (each, grant) in planned.iter_mut().zip(divide(free, &missing)) {
+        each.grant = grant;
+        each.target += grant;
+        free -= grant;
+    }
+    if !moves {
+        for ((each, share), ideal) in planned.iter_mut().zip(shares).zip(&ideal) {
+            let lacks = ideal.saturating_sub(share.outstanding + each.grant);
+            if lacks > ideal / SPARE {
+                let grant = lacks.min(free);
+                each.grant += grant;
+                each.target += grant;
+                free -= grant;
+            }
+        }
+    }
+    planned
+}
+
+/// How much a cell lacks, if that is worth a move.
+fn short(share: &Share, fill: Units) -> Units {
+    let lacks = fill.saturating_sub(share.outstanding);
+    let at_once = share.used + share.least;
+    let matters = lacks >= fill / SHORT || share.outstanding < at_once;
+    if matters { lacks } else { 0 }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/bookkeeping/scheduler.rs
+++ b/src/bookkeeping/scheduler.rs
@@ -627,10 +627,7 @@
                 })
                 .sum();
             let demand = books.units(&team.booked) + waiting;
-            match books.units(&team.limit) {
-                limit if limit > 0.0 => demand.min(limit),
-                _ => demand,
-            }
+            demand.min(books.units(&team.limit))
         })
         .collect();
     let mut shares: Vec<f64> = books
@@ -792,9 +789,7 @@
                 let mut asked = budget;
                 asked.add(&entry.need);
                 let limit = &books.teams[team].limit;
-                if (limit.cpus > 0.0 && asked.cpus > limit.cpus + 1e-6)
-                    || (limit.gpus > 0.0 && asked.gpus > limit.gpus + 1e-6)
-                {
+                if asked.cpus > limit.cpus + 1e-6 || asked.gpus > limit.gpus + 1e-6 {
                     break;
                 }
                 trial.starved = units <= hope + 1e-6;
@@ -811,6 +806,57 @@
     victims
 }
 
+/// What a team has to stop for its use to come down by `excess`: the least urgent and what loses least first, gangs
+/// whole. What already has to stop counts.
+pub fn above(
+    books: &Books,
+    team: TeamIx,
+    excess: &Amounts,
+    now: Millis,
+) -> Vec<(MachineIx, usize)> {
+    let (mut cpus, mut gpus) = (excess.cpus, excess.gpus);
+    let mut running = Vec::new();
+    for (number, machine) in books.machines.iter().enumerate() {
+        for (at, attempt) in machine.attempts.iter().enumerate() {
+            let job = books.job(attempt.job);
+            if job.team != team || attempt.phase == Phase::Ended {
+                continue;
+            }
+            if attempt.stop.is_some() {
+                cpus -= job.need.cpus;
+                gpus -= job.need.gpus;
+                continue;
+            }
+            let lost = lost_s(books, attempt, now);
+            running.push((job.priority, lost, MachineIx(number as u32), at));
+        }
+    }
+    running.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.total_cmp(&b.1)));
+    let mut stopped: Vec<(MachineIx, usize)> = Vec::new();
+    let mut gangs: HashSet<JobIx> = HashSet::new();
+    let attempt_of = |machine: MachineIx, at: usize| &books.machine(machine).attempts[at];
+    for &(.., machine, at) in &running {
+        let index = attempt_of(machine, at).job;
+        let job = books.job(index);
+        let helps = cpus > 1e-6 && job.need.cpus > 0.0 || gpus > 1e-6 && job.need.gpus > 0.0;
+        if !helps || gangs.contains(&index) {
+            continue;
+        }
+        let mut parts = vec![(machine, at)];
+        if job.kind == Kind::Gang {
+            gangs.insert(index);
+            let of_gang = running.iter().map(|&(.., machine, at)| (machine, at));
+            parts = of_gang
+                .filter(|&(machine, at)| attempt_of(machine, at).job == index)
+                .collect();
+        }
+        cpus -= job.need.cpus * parts.len() as f64;
+        gpus -= job.need.gpus * parts.len() as f64;
+        stopped.extend(parts);
+    }
+    stopped
+}
+
 /// A trial in which nobody could give way: it ends alike for those of the team's jobs that ask for as much or
 /// more, since a check only takes room. A look at all machines for each of 5000 single tasks took seconds.
 struct Vain {
--- a/src/bookkeeping/store.rs
+++ b/src/bookkeeping/store.rs
@@ -11,6 +11,9 @@
 //! * `books/images/<part>`: which machines hold which images, for a successor to place by. Only a
 //!   hint: nothing depends on it.
 //!
+//! * `quota/cells`, `quota/home/<team>`, `quota/hold/<team>`: which cells share quotas, what a team's home has granted
+//!   to each, and what this cell holds. Only where cells are named.
+//!
 //! Notes on one task are put in order by attempt and by what can follow what, so that it makes no
 //! difference in which order a successor reads them, or whether it reads one twice.
 
@@ -34,6 +37,11 @@
 pub const TABLE: &str = "shared/admission";
 const DEPUTY: &str = "shared/deputy/";
 pub const BOOKS: &str = "books/";
+/// Quotas that cells share; nothing is kept there unless cells are named.
+pub const QUOTA: &str = "quota/";
+pub const QUOTA_CELLS: &str = "quota/cells";
+const QUOTA_HOME: &str = "quota/home/";
+const QUOTA_HOLD: &str = "quota/hold/";
 const JOB: &str = "shared/job/";
 const PART: &str = "shared/part/";
 const TASK: &str = "books/task/";
@@ -109,6 +117,24 @@
     key.starts_with(IMAGES)
 }
 
+/// What a team's home keeps of it.
+pub fn quota_home_key(team: &str) -> String {
+    format!("{QUOTA_HOME}{team}")
+}
+
+pub fn parse_quota_home_key(key: &str) -> Option<&str> {
+    key.strip_prefix(QUOTA_HOME)
+}
+
+/// What this cell holds of a team's quota.
+pub fn quota_hold_key(team: &str) -> String {
+    format!("{QUOTA_HOLD}{team}")
+}
+
+pub fn parse_quota_hold_key(key: &str) -> Option<&str> {
+    key.strip_prefix(QUOTA_HOLD)
+}
+
 pub fn slot_key(slot: u32) -> String {
     format!("{LOG}{slot:05}")
 }
--- a/src/config.rs
+++ b/src/config.rs
@@ -4,6 +4,8 @@
 
 use serde::Deserialize;
 
+use crate::cells::Cells;
+
 #[derive(Clone, Debug, Deserialize)]
 pub struct Config {
     pub label: String,
@@ -16,6 +18,10 @@
     pub members: Vec<Member>,
     pub services: Services,
     pub settings: Settings,
+    /// The cells that share the teams' quotas: named by flags, not by the file. Without any, this deployment keeps
+    /// the limits of the file by itself.
+    #[serde(skip)]
+    pub cells: Option<Cells>,
 }
 
 /// Another node of this deployment.
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -12,6 +12,7 @@
     fleet::Ack,
     notes::Notes,
     pipelines::Ends,
+    quota::Quotas,
     reach::Reach,
     renting::Renting,
     takeover::Found,
@@ -122,6 +123,8 @@
     pub ends: Ends,
     /// What those that need a job make of it.
     pub pulls: HashMap<JobId, Pull>,
+    /// Quotas that cells share; `None`: there is but this one.
+    pub quotas: Option<Quotas>,
 }
 
 impl Leading {
@@ -383,6 +386,7 @@
             reach: Reach::default(),
             ends: Ends::default(),
             pulls: HashMap::new(),
+            quotas: None,
         }));
         self.out.push(Effect::Leading(true));
         // Jobs accepted or cancelled up to now must be known before the books are made.
@@ -479,7 +483,12 @@
             return;
         }
         self.watch_machines();
-        if self.may_start() {
+        self.share_quotas();
+        let quotas_known = self
+            .leading
+            .as_ref()
+            .is_some_and(|leading| leading.quotas_known());
+        if quotas_known && self.may_start() {
             self.schedule();
         }
         self.recheck();
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -10,6 +10,7 @@
 mod leader;
 mod notes;
 mod pipelines;
+pub mod quota;
 mod reach;
 mod renting;
 pub mod shares;
@@ -24,11 +25,12 @@
 pub use admission::{Class, Counts, News, TurnTold};
 pub use directory::Directory;
 pub use leader::Leading;
+pub use quota::{CellAnswer, CellStatement, QuotaStatus};
 pub use status::Status;
 
 use crate::{
     bookkeeping::Millis,
-    config::Config,
+    config::{Config, Team},
     protocol::{
         self,
         cloud::{CloudError, CloudReply, CloudRequest, MachineType},
@@ -176,6 +178,16 @@
     },
     /// A member's answer to a relayed request; `None`: no answer.
     Relayed(AskId, Option<Answer>),
+    /// Another cell tells how it stands in teams whose home this cell is.
+    Stated(AskId, Box<CellStatement>),
+    /// Another cell's answer to a statement; `None`: no answer.
+    Exchanged {
+        lease: u64,
+        cell: String,
+        answer: Option<Box<CellAnswer>>,
+    },
+    /// The settings file names these teams now.
+    Teams(Vec<Team>),
     Tick,
 }
 
@@ -214,6 +226,14 @@
         label: String,
         ask: Ask,
     },
+    /// Tell another cell how this one stands.
+    Exchange {
+        lease: u64,
+        cell: String,
+        statement: Box<CellStatement>,
+    },
+    /// The answer to a statement; `None`: this node can't answer for its cell.
+    Stated(AskId, Option<CellAnswer>),
     /// How much of the services' limits this node may use.
     Leading(bool),
 }
@@ -291,6 +311,12 @@
     DeputyTouch {
         lease: u64,
     },
+    Quotas {
+        lease: u64,
+    },
+    QuotasWritten {
+        lease: u64,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -424,6 +450,13 @@
                 word,
             } => self.revoked(lease, label, sent_at, word),
             Command::Relayed(id, answer) => self.relayed(id, answer),
+            Command::Stated(id, statement) => self.quotas_stated(id, &statement),
+            Command::Exchanged {
+                lease,
+                cell,
+                answer,
+            } => self.quotas_answered(lease, &cell, answer.map(|answer| *answer)),
+            Command::Teams(teams) => self.configure(teams),
             Command::Tick => {}
         }
     }
@@ -461,6 +494,8 @@
             StateTag::DeputyGrant => self.deputy_granted(sent_at, result),
             StateTag::DeputyPut { lease } => self.deputy_put(lease, result),
             StateTag::DeputyTouch { lease } => self.deputy_touched(lease, sent_at, result),
+            StateTag::Quotas { lease } => self.quotas_read(lease, result),
+            StateTag::QuotasWritten { lease } => self.quotas_written(lease, result),
         }
     }
 
--- a/src/coordination/status.rs
+++ b/src/coordination/status.rs
@@ -1,6 +1,6 @@
 //! What a node says of itself to whoever watches it.
 
-use super::{Class, Counts, Node, directory::LiveJob};
+use super::{Class, Counts, Node, QuotaStatus, directory::LiveJob};
 use crate::{
     bookkeeping::{Millis, books::MachineState, dues::Standing},
     protocol::ids::JobId,
@@ -34,6 +34,8 @@
     pub classes: Vec<(Class, Standing)>,
     /// What the tasks that started since the last look had waited for.
     pub start_waits: Vec<Millis>,
+    /// On the leader, where cells share quotas: how those stand.
+    pub quotas: Option<QuotaStatus>,
 }
 
 impl Node {
@@ -49,6 +51,7 @@
             table: self.admission.seq(),
             part: self.parts().whole(),
             late: self.admission.late(),
+            quotas: self.quota_status(),
             ..Status::default()
         };
         let Some(leading) = &mut self.leading else {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,7 +1,8 @@
 //! Ties the layers together: one owner of all state, fed through a queue of commands.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
+    path::Path,
     rc::Rc,
     sync::Arc,
     time::{Duration, SystemTime, UNIX_EPOCH},
@@ -17,7 +18,8 @@
 use crate::{
     config::Config,
     coordination::{
-        Answer, Ask, AskId, Command, Effect, News, Node, Now, Revocation, Word, shares,
+        Answer, Ask, AskId, CellAnswer, CellStatement, Command, Effect, News, Node, Now,
+        Revocation, Word, shares,
     },
     metrics::Metrics,
     protocol::{
@@ -31,6 +33,8 @@
     },
 };
 
+mod settings_file;
+
 /// How often the owner looks at the time when nothing else happens.
 const TICK: Duration = Duration::from_millis(50);
 /// How often the owner is asked what the metrics show.
@@ -54,16 +58,16 @@
     },
 }
 
-/// Runs a node until the process is killed.
-pub fn run(config: Config) -> Result<(), DaemonError> {
+/// Runs a node until the process is killed. Where cells share quotas, the settings file is read again when it changes.
+pub fn run(config: Config, file: &Path) -> Result<(), DaemonError> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(DaemonError::Runtime)?;
-    LocalSet::new().block_on(&runtime, serve(config))
+    LocalSet::new().block_on(&runtime, serve(config, file))
 }
 
-async fn serve(config: Config) -> Result<(), DaemonError> {
+async fn serve(config: Config, file: &Path) -> Result<(), DaemonError> {
     tracing::info!(label = config.label, listen = %config.listen, "starting");
     let listener =
         TcpListener::bind(config.listen)
@@ -75,6 +79,7 @@
     let (commands, queue) = mpsc::unbounded_channel();
     let (door, asked) = mpsc::unbounded_channel();
     let (questions, questioned) = mpsc::unbounded_channel();
+    let (statements, stated) = mpsc::unbounded_channel();
     let sockets = f64::from(config.settings.limits.sockets);
     let connections = (sockets * DOOR_SHARE) as usize;
     let relayed = door.clone();
@@ -91,6 +96,7 @@
                 mesh_addr,
                 to_owner.clone(),
                 questions.clone(),
+                statements.clone(),
                 relayed.clone(),
                 news.clone(),
             )
@@ -101,23 +107,41 @@
             tokio::time::sleep(Duration::from_secs(1)).await;
         }
     });
+    if config.cells.is_some() {
+        tokio::task::spawn_local(settings_file::follow(file.to_owned(), commands.clone()));
+    }
     let io = Rc::new(Io::new(&config, commands, metrics, published));
-    own(Node::new(config), io, queue, asked, questioned).await;
+    let queues = Queues {
+        commands: queue,
+        asked,
+        questioned,
+        stated,
+    };
+    own(Node::new(config), io, queues).await;
     Ok(())
 }
 
+/// What the owner takes commands and requests from.
+struct Queues {
+    commands: mpsc::UnboundedReceiver<Command>,
+    asked: mpsc::UnboundedReceiver<(Ask, oneshot::Sender<Answer>)>,
+    questioned: mpsc::UnboundedReceiver<(Revocation, oneshot::Sender<Word>)>,
+    stated: mpsc::UnboundedReceiver<(CellStatement, oneshot::Sender<Option<CellAnswer>>)>,
+}
+
 /// The owner's loop.
-async fn own(
-    mut node: Node,
-    io: Rc<Io>,
-    mut queue: mpsc::UnboundedReceiver<Command>,
-    mut asked: mpsc::UnboundedReceiver<(Ask, oneshot::Sender<Answer>)>,
-    mut questioned: mpsc::UnboundedReceiver<(Revocation, oneshot::Sender<Word>)>,
-) {
+async fn own(mut node: Node, io: Rc<Io>, queues: Queues) {
+    let Queues {
+        commands: mut queue,
+        mut asked,
+        mut questioned,
+        mut stated,
+    } = queues;
     let mut tick = tokio::time::interval(TICK);
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut answers: HashMap<AskId, oneshot::Sender<Answer>> = HashMap::new();
     let mut words: HashMap<AskId, oneshot::Sender<Word>> = HashMap::new();
+    let mut statements: HashMap<AskId, oneshot::Sender<Option<CellAnswer>>> = HashMap::new();
     let mut next_ask: AskId = 0;
     let mut batch = Vec::with_capacity(BATCH);
     let mut asks = Vec::with_capacity(BATCH);
@@ -132,6 +156,11 @@
                 words.insert(next_ask, reply);
                 batch.push(Command::Revoke(next_ask, revocation));
             }
+            Some((statement, reply)) = stated.recv() => {
+                next_ask += 1;
+                statements.insert(next_ask, reply);
+                batch.push(Command::Stated(next_ask, Box::new(statement)));
+            }
             _ = tick.tick() => batch.push(Command::Tick),
         }
         for (ask, answer) in asks.drain(..) {
@@ -165,6 +194,11 @@
                         let _ = waiting.send(answer);
                     }
                 }
+                Effect::Stated(id, answer) => {
+                    if let Some(waiting) = statements.remove(&id) {
+                        let _ = waiting.send(answer);
+                    }
+                }
                 effect => io.perform(effect),
             }
         }
@@ -180,6 +214,7 @@
     cloud: CloudClient,
     workers: WorkerClient,
     members: mesh::Members,
+    cells: mesh::cells::PeerCells,
     addrs: HashMap<String, std::net::SocketAddrV4>,
     requests: Bucket,
     writes: Bucket,
@@ -229,6 +264,10 @@
             state: StateClient::new(config.services.state),
             cloud: CloudClient::new(config.services.cloud),
             members: mesh::Members::new(addrs.values().copied()),
+            cells: match &config.cells {
+                Some(cells) => mesh::cells::PeerCells::new(&cells.peers),
+                None => mesh::cells::PeerCells::new(&BTreeMap::new()),
+            },
             addrs,
             requests: Bucket::new(limits.rps * shares.requests),
             writes: Bucket::new(limits.write_rps * shares.writes),
@@ -314,6 +353,20 @@
                     });
                 });
             }
+            Effect::Exchange {
+                lease,
+                cell,
+                statement,
+            } => {
+                tokio::task::spawn_local(async move {
+                    let answer = io.cells.exchange(&cell, *statement).await;
+                    let _ = io.owner.send(Command::Exchanged {
+                        lease,
+                        cell,
+                        answer: answer.map(Box::new),
+                    });
+                });
+            }
             Effect::Relay { id, label, ask } => {
                 let addr = self.addrs.get(&label).copied();
                 tokio::task::spawn_local(async move {
@@ -332,7 +385,7 @@
                 self.cloud_requests
                     .set_rate(limits.cloud_rps * shares.cloud);
             }
-            Effect::Answer(..) | Effect::Revoked(..) => {}
+            Effect::Answer(..) | Effect::Revoked(..) | Effect::Stated(..) => {}
         }
     }
 
--- /dev/null
+++ b/src/daemon/settings_file/tests.rs
@@ -0,0 +1,36 @@
+use super::*;
+
+fn settings(limit: &str) -> String {
+    format!(
+        r#"{{"label":"n0","domain":"a","listen":"127.0.0.1:1","mesh_addr":"127.0.0.1:2",
+        "services":{{"cloud":"127.0.0.1:3","state":"127.0.0.1:4"}},
+        "settings":{{"zones":["a"],"teams":[{{"name":"red","cpus_max":{limit}}}],
+        "workers":{{"report_s":2.5,"lease_s":14.0,"cancel_s":34.0}},
+        "state":{{"rps":100.0,"write_rps":50.0,"value_kb":16.0,"txn_ops":24}},
+        "cloud":{{"rps":3.0}}}}}}"#
+    )
+}
+
+#[tokio::test]
+async fn a_change_is_told_once_and_a_mistake_never() {
+    let name = format!("dalelb-follow-{}.json", std::process::id());
+    let path = std::env::temp_dir().join(name);
+    std::fs::write(&path, settings("1.0")).unwrap();
+    let (owner, mut told) = mpsc::unbounded_channel();
+    tokio::spawn(follow(path.clone(), owner));
+    tokio::time::sleep(2 * LOOK).await;
+    assert!(told.try_recv().is_err(), "nothing has changed");
+    for wrong in ["-100.0", "\"many\""] {
+        std::fs::write(&path, settings(wrong)).unwrap();
+        tokio::time::sleep(3 * LOOK).await;
+        assert!(told.try_recv().is_err(), "{wrong}");
+    }
+    std::fs::write(&path, settings("250.0")).unwrap();
+    let Some(Command::Teams(teams)) = told.recv().await else {
+        panic!("no teams");
+    };
+    assert_eq!(teams[0].cpus_max, 250.0);
+    tokio::time::sleep(3 * LOOK).await;
+    assert!(told.try_recv().is_err(), "told once");
+    std::fs::remove_file(path).unwrap();
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`bookkeeping`] holds what runs where and what should. [`daemon`] ties them together.
 
 pub mod bookkeeping;
+pub mod cells;
 pub mod config;
 pub mod coordination;
 pub mod daemon;
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,7 +3,11 @@
 use std::{path::PathBuf, process::ExitCode};
 
 use clap::{Parser, Subcommand};
-use dalelb::{config::Config, daemon};
+use dalelb::{
+    cells::{CellError, Cells, PeerCell},
+    config::Config,
+    daemon,
+};
 use tracing_subscriber::EnvFilter;
 
 #[derive(Parser)]
@@ -23,6 +27,20 @@
         /// The settings file (JSON).
         #[arg(long, value_name = "FILE")]
         config: PathBuf,
+        /// The name of this cell: it shares the teams' limits and guarantees with the cells named by --peer-cell, and
+        /// reads the teams again whenever the settings file changes.
+        #[arg(long, value_name = "NAME", env = "DALELB_CELL")]
+        cell: Option<String>,
+        /// Another cell, and where its controllers take requests from others. Once for each; in the variable, one
+        /// after the other with semicolons between.
+        #[arg(
+            long = "peer-cell",
+            value_name = "NAME=ADDRESS:PORT[,ADDRESS:PORT...]",
+            env = "DALELB_PEER_CELLS",
+            value_delimiter = ';',
+            requires = "cell"
+        )]
+        peer_cells: Vec<PeerCell>,
     },
     /// Check a settings file and say everything that is wrong with it.
     Check {
@@ -34,8 +52,8 @@
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
-    let (Command::Serve { config: path } | Command::Check { config: path }) = &cli.command;
-    let config = match Config::load(path) {
+    let (Command::Serve { config: path, .. } | Command::Check { config: path }) = &cli.command;
+    let mut config = match Config::load(path) {
         Ok(config) => config,
         Err(error) => {
             eprintln!("dalelb: {error}");
@@ -46,6 +64,13 @@
         println!("{}: ok", path.display());
         return ExitCode::SUCCESS;
     }
+    config.cells = match cells(&cli.command, &config) {
+        Ok(cells) => cells,
+        Err(error) => {
+            eprintln!("dalelb: {error}");
+            return ExitCode::from(2);
+        }
+    };
     tracing_subscriber::fmt()
         .with_env_filter(EnvFilter::new(format!(
             "error,warp=off,dalelb={}",
@@ -55,7 +80,7 @@
         .with_ansi(false)
         .without_time()
         .init();
-    match daemon::run(config) {
+    match daemon::run(config, path) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("dalelb: {error}");
@@ -63,3 +88,17 @@
         }
     }
 }
+
+/// The cells that share quotas, if operators name this one.
+fn cells(command: &Command, config: &Config) -> Result<Option<Cells>, CellError> {
+    let Command::Serve {
+        cell: Some(own),
+        peer_cells,
+        ..
+    } = command
+    else {
+        return Ok(None);
+    };
+    Cells::check_teams(&config.settings.teams)?;
+    Cells::new(own, peer_cells).map(Some)
+}
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -19,6 +19,8 @@
     protocol::{cloud::CloudError, state::StateError},
 };
 
+mod quotas;
+
 /// Media type of what [`Metrics::text`] returns.
 pub const MEDIA_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
@@ -117,6 +119,7 @@
     behind: Family<Class, Count>,
     tasks: Family<Outcome, Count>,
     jobs: Family<Outcome, Count>,
+    quotas: quotas::QuotaMetrics,
 }
 
 impl Default for Metrics {
@@ -152,6 +155,7 @@
             behind: Family::default(),
             tasks: Family::default(),
             jobs: Family::default(),
+            quotas: quotas::QuotaMetrics::default(),
         };
         metrics.register();
         metrics
@@ -215,6 +219,7 @@
             self.start_waits.clone(),
         );
         self.register_admission();
+        self.quotas.register(&mut self.registry);
     }
 
     fn register_admission(&mut self) {
@@ -369,6 +374,7 @@
         self.awaiting.set(status.awaiting as i64);
         self.ends_unwritten.set(status.ends_unwritten as i64);
         self.record_admission(&status);
+        self.quotas.record(status.quotas);
         // A node that leads no more has nothing to tell of these.
         self.waiting.clear();
         self.booked.clear();
--- a/src/transport/mesh.rs
+++ b/src/transport/mesh.rs
@@ -10,13 +10,15 @@
 
 use crate::{
     coordination::{
-        Answer, Ask, Class, Command, Counts, JobProgress, News, Progress, Renewal, Revocation,
-        SilentMachine, TurnTold, Word,
+        Answer, Ask, CellAnswer, CellStatement, Class, Command, Counts, JobProgress, News,
+        Progress, Renewal, Revocation, SilentMachine, TurnTold, Word,
     },
     protocol::{self, ids::JobId, job::Submission},
     transport::server::Door,
 };
 
+pub mod cells;
+
 pub mod proto {
     tonic::include_proto!("dalelb.mesh.v1");
 }
@@ -124,12 +126,16 @@
     }
 }
 
+/// Another cell's statement on its way to the owner.
+pub type Statements = mpsc::UnboundedSender<(CellStatement, oneshot::Sender<Option<CellAnswer>>)>;
+
 /// A leader's question on its way to the owner.
 pub type Questions = mpsc::UnboundedSender<(Revocation, oneshot::Sender<Word>)>;
 
 struct Service {
     owner: mpsc::UnboundedSender<Command>,
     questions: Questions,
+    statements: Statements,
     door: Door,
     news: watch::Receiver<News>,
 }
@@ -143,6 +149,24 @@
         Ok(Response::new(news_message(&self.news.borrow())))
     }
 
+    async fn exchange(
+        &self,
+        request: Request<proto::CellStatement>,
+    ) -> Result<Response<proto::CellAnswer>, Status> {
+        let statement = cells::statement_heard(request.into_inner());
+        let (send, receive) = oneshot::channel();
+        let gone = || Status::unavailable("the owner is gone");
+        self.statements
+            .send((statement, send))
+            .map_err(|_| gone())?;
+        match receive.await.map_err(|_| gone())? {
+            Some(answer) => Ok(Response::new(cells::answer_message(answer))),
+            None => Err(Status::unavailable(
+                "this node does not answer for its cell",
+            )),
+        }
+    }
+
     async fn relay(
         &self,
         request: Request<proto::Request>,
@@ -212,12 +236,14 @@
     addr: SocketAddrV4,
     owner: mpsc::UnboundedSender<Command>,
     questions: Questions,
+    statements: Statements,
     door: Door,
     news: watch::Receiver<News>,
 ) -> Result<(), tonic::transport::Error> {
     let service = Service {
         owner,
         questions,
+        statements,
         door,
         news,
     };
--- /dev/null
+++ b/src/transport/mesh/cells/tests.rs
@@ -0,0 +1,44 @@
+use proptest::prelude::*;
+
+use super::*;
+
+prop_compose! {
+    fn any_quota()(cpus in any::<u64>(), gpus in any::<u64>()) -> Quota {
+        Quota { cpus, gpus }
+    }
+}
+
+prop_compose! {
+    fn any_position()(
+        version in any::<u64>(), granted in any_quota(), returned in any_quota(), used in any_quota(),
+        wanted in any_quota(), least in any_quota(), grain in any_quota(),
+    ) -> Position {
+        Position { version, account: Account { granted, returned }, used, wanted, least, grain }
+    }
+}
+
+prop_compose! {
+    fn any_grant()(
+        version in any::<u64>(), guarantee in any_quota(), granted in any_quota(), target in any_quota(),
+        lowered in any::<bool>(),
+    ) -> Grant {
+        Grant { version, guarantee, granted, target, lowered }
+    }
+}
+
+proptest! {
+    #[test]
+    fn what_is_told_is_what_is_heard(
+        position in any_position(), grant in any_grant(), from in "[a-z]{1,8}", team in "[a-z]{1,8}",
+    ) {
+        let cells = vec!["a".to_owned(), from.clone()];
+        let statement = CellStatement {
+            from: from.clone(),
+            cells: cells.clone(),
+            teams: vec![(team.clone(), position)],
+        };
+        prop_assert_eq!(statement_heard(statement_message(statement.clone())), statement);
+        let answer = CellAnswer { from, cells, teams: vec![(team, grant)] };
+        prop_assert_eq!(answer_heard(answer_message(answer.clone())), answer);
+    }
+}
--- /dev/null
+++ b/tests/cells.rs
@@ -0,0 +1,667 @@
+//! Several cells that share teams' quotas: one controller each, with a state service, machines and links between them
+//! that are slow, cut or mended. At every start the team's use over all cells is held to its limit.
+
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, HashMap},
+    rc::Rc,
+    sync::{Arc, Mutex},
+};
+
+use dalelb::{
+    cells::{Cells, PeerCell},
+    config::{Config, Team},
+    coordination::{
+        Answer, Ask, AskId, CellAnswer, CellStatement, Command, Effect, Node, Now, WorkerTag,
+    },
+    protocol::{
+        self,
+        cloud::{CloudReply, CloudRequest, MachineTypes},
+        ids::{JobId, TaskId},
+        job::{Kind, Priority, Submission},
+        state::{StateReply, StateRequest},
+        worker::{Orders, WorkerReply},
+    },
+};
+use dalelb_standin::{
+    cloud::{listed, machine_type},
+    machine::{Identity, Machine, TaskEvent, TaskSpec, Tasks},
+    store::{Limits, Store},
+};
+use serde_json::json;
+
+/// One way between two cells.
+const LINK: u64 = 150;
+const TICK: u64 = 50;
+const REPORT: u64 = 1000;
+const STATE: u64 = 4;
+const MACHINES: usize = 4;
+const CPUS: f64 = 16.0;
+/// Within this a change has to be in force in all cells that can be reached.
+const IN_FORCE: u64 = 6000;
+
+/// What runs, in all cells, and what a team may run.
+struct Use {
+    on: HashMap<TaskId, usize>,
+    used: f64,
+    limit: f64,
+}
+
+struct Shared(Mutex<Use>);
+
+impl Tasks for Shared {
+    fn describe(&self, _: TaskId) -> Option<TaskSpec> {
+        Some(TaskSpec {
+            cpus: 1.0,
+            run_ms: None,
+        })
+    }
+
+    fn happened(&self, machine: &str, task: TaskId, event: TaskEvent) {
+        let mut all = self.0.lock().unwrap();
+        match event {
+            TaskEvent::Started => {
+                *all.on.entry(task).or_default() += 1;
+                assert_eq!(all.on[&task], 1, "{task} starts twice, on {machine}");
+                all.used += 1.0;
+                assert!(
+                    all.used <= all.limit,
+                    "{} of {} on {machine}",
+                    all.used,
+                    all.limit
+                );
+            }
+            TaskEvent::Left => {
+                all.on.remove(&task);
+                all.used -= 1.0;
+            }
+        }
+    }
+}
+
+enum What {
+    Tick,
+    Report(usize),
+    Command(Box<Command>),
+    State(dalelb::coordination::StateTag, StateRequest, u64),
+    Stated(usize, u64, Box<CellStatement>),
+    Answered(u64, String, Option<Box<CellAnswer>>),
+}
+
+struct Cell {
+    node: Node,
+    /// Counts processes; what is meant for an earlier one is dropped.
+    life: u64,
+    began: u64,
+    store: Store,
+    machines: Vec<Machine>,
+    /// Users' and machines' requests under way.
+    asks: HashMap<AskId, Option<usize>>,
+    statements: HashMap<AskId, (usize, u64)>,
+    answers: Vec<Answer>,
+}
+
+struct World {
+    now: u64,
+    next: u64,
+    queue: BTreeMap<(u64, u64), (usize, u64, What)>,
+    cells: Vec<Cell>,
+    teams: Vec<serde_json::Value>,
+    cut: Vec<bool>,
+    shared: Arc<Shared>,
+    /// Messages between cells that were delivered.
+    messages: Rc<RefCell<u64>>,
+}
+
+fn name(cell: usize) -> String {
+    format!("cell-{cell}")
+}
+
+fn team(limit: f64) -> serde_json::Value {
+    json!({"name": "red", "cpus": limit / 2.0, "cpus_max": limit})
+}
+
+fn config(cell: usize, of: usize, teams: &[serde_json::Value]) -> Config {
+    let config = json!({
+        "label": "n0", "domain": "a", "listen": "127.0.0.1:1", "mesh_addr": "127.0.0.1:2",
+        "services": {"cloud": "127.0.0.1:3", "state": "127.0.0.1:4"},
+        "settings": {
+            "zones": ["a"], "teams": teams,
+            "workers": {"report_s": 1.0, "lease_s": 14.0, "cancel_s": 34.0},
+            "state": {"rps": 400.0, "write_rps": 200.0, "value_kb": 16.0, "txn_ops": 24},
+            "cloud": {"rps": 3.0}
+        }
+    });
+    let mut config: Config = serde_json::from_value(config).unwrap();
+    let peers = (0..of).filter(|other| *other != cell);
+    let peers: Vec<PeerCell> = peers
+        .map(|other| format!("{}=127.0.0.1:9", name(other)).parse().unwrap())
+        .collect();
+    config.cells = (of > 0).then(|| Cells::new(&name(cell), &peers).unwrap());
+    config
+}
+
+impl World {
+    fn new(cells: usize, limit: f64) -> Self {
+        let shared = Arc::new(Shared(Mutex::new(Use {
+            on: HashMap::new(),
+            used: 0.0,
+            limit,
+        })));
+        let mut world = World {
+            now: 0,
+            next: 0,
+            queue: BTreeMap::new(),
+            cells: Vec::new(),
+            teams: vec![team(limit)],
+            cut: vec![false; cells],
+            shared,
+            messages: Rc::default(),
+        };
+        for cell in 0..cells {
+            world.add_cell(config(cell, cells, &world.teams));
+        }
+        world
+    }
+
+    fn add_cell(&mut self, config: Config) {
+        let index = self.cells.len();
+        let machines = (0..MACHINES).map(|number| {
+            let identity = Identity {
+                name: format!("vm-{number:06}"),
+                addr: format!("127.0.0.{number}:9000"),
+                type_name: "c8".into(),
+                zone: "a".into(),
+                cpus: CPUS,
+            };
+            Machine::new(identity, 0)
+        });
+        self.cells.push(Cell {
+            node: Node::new(config),
+            life: 0,
+            began: 0,
+            store: Store::new(Limits {
+                txn_ops: 24,
+                value_kb: 16.0,
+            }),
+            machines: machines.collect(),
+            asks: HashMap::new(),
+            statements: HashMap::new(),
+            answers: Vec::new(),
+        });
+        self.at(0, index, What::Tick);
+        for machine in 0..MACHINES {
+            self.at(10 * machine as u64, index, What::Report(machine));
+        }
+    }
+
+    fn at(&mut self, delay: u64, cell: usize, what: What) {
+        self.next += 1;
+        let life = self.cells[cell].life;
+        self.queue
+            .insert((self.now + delay, self.next), (cell, life, what));
+    }
+
+    fn run(&mut self, length: u64) {
+        let until = self.now + length;
+        while let Some((&(at, number), _)) = self.queue.first_key_value()
+            && at <= until
+        {
+            let (cell, life, what) = self.queue.remove(&(at, number)).unwrap();
+            self.now = at;
+            self.cells[cell].store.expire(at);
+            // Machines outlive processes.
+            if life == self.cells[cell].life || matches!(what, What::Report(_)) {
+                self.happen(cell, what);
+            }
+        }
+        self.now = until;
+    }
+
+    fn happen(&mut self, cell: usize, what: What) {
+        match what {
+            What::Tick => {
+                self.step(cell, Command::Tick);
+                self.at(TICK, cell, What::Tick);
+            }
+            What::Report(machine) => {
+                let now = self.now;
+                let held = &mut self.cells[cell].machines[machine];
+                held.expire(now, 14_000, &*self.shared);
+                let report = held.report();
+                self.next += 1;
+                let id = self.next;
+                self.cells[cell].asks.insert(id, Some(machine));
+                self.step(cell, Command::Ask(id, Ask::CheckIn(Box::new(report))));
+                self.at(REPORT, cell, What::Report(machine));
+            }
+            What::Command(command) => self.step(cell, *command),
+            What::State(tag, request, since) => self.state(cell, tag, request, since),
+            What::Stated(from, lease, statement) => {
+                self.next += 1;
+                let id = self.next;
+                self.cells[cell].statements.insert(id, (from, lease));
+                *self.messages.borrow_mut() += 1;
+                self.step(cell, Command::Stated(id, statement));
+            }
+            What::Answered(lease, from, answer) => {
+                let command = Command::Exchanged {
+                    lease,
+                    cell: from,
+                    answer,
+                };
+                self.step(cell, command);
+            }
+        }
+    }
+
+    fn state(
+        &mut self,
+        cell: usize,
+        tag: dalelb::coordination::StateTag,
+        request: StateRequest,
+        since: u64,
+    ) {
+        let mut asked = request.clone();
+        if let StateRequest::Changes { hold_ms, .. } = &mut asked {
+            *hold_ms = hold_ms.saturating_sub(self.now - since);
+        }
+        match self.cells[cell].store.serve(&asked, self.now) {
+            Some(reply) => {
+                let sent_at = since - self.cells[cell].began;
+                let result: Result<StateReply, _> = Ok(reply);
+                let command = Command::State {
+                    tag,
+                    sent_at,
+                    result,
+                };
+                self.at(STATE, cell, What::Command(Box::new(command)));
+            }
+            None => self.at(10, cell, What::State(tag, request, since)),
+        }
+    }
+
+    fn step(&mut self, cell: usize, command: Command) {
+        let now = Now {
+            steady: self.now - self.cells[cell].began,
+            wall: 1_000_000 + self.now,
+        };
+        let effects = self.cells[cell].node.step([command], now);
+        for effect in effects {
+            self.effect(cell, effect);
+        }
+    }
+
+    fn effect(&mut self, cell: usize, effect: Effect) {
+        match effect {
+            Effect::State { tag, request, .. } => {
+                let since = self.now;
+                self.at(STATE, cell, What::State(tag, request, since));
+            }
+            Effect::Cloud { tag, request, .. } => {
+                let result = Ok(self.cloud(cell, &request));
+                let command = Command::Cloud { tag, result };
+                self.at(20, cell, What::Command(Box::new(command)));
+            }
+            Effect::Worker {
+                tag, addr, orders, ..
+            } => self.command(cell, tag, &addr, orders),
+            Effect::Answer(id, answer) => self.answer(cell, id, answer),
+            Effect::Exchange {
+                lease,
+                cell: to,
+                statement,
+            } => {
+                let target = (0..self.cells.len()).find(|other| name(*other) == to);
+                let target = target.filter(|target| !self.cut[*target] && !self.cut[cell]);
+                match target {
+                    Some(target) => self.at(LINK, target, What::Stated(cell, lease, statement)),
+                    None => self.at(2000, cell, What::Answered(lease, to, None)),
+                }
+            }
+            Effect::Stated(id, answer) => {
+                let Some((to, lease)) = self.cells[cell].statements.remove(&id) else {
+                    return;
+                };
+                if !self.cut[cell] && !self.cut[to] {
+                    let answer = answer.map(Box::new);
+                    self.at(LINK, to, What::Answered(lease, name(cell), answer));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn cloud(&self, _: usize, request: &CloudRequest) -> CloudReply {
+        match request {
+            CloudRequest::Types => CloudReply::Types(MachineTypes {
+                types: vec![machine_type(CPUS, 64.0, &["a".to_owned()])],
+            }),
+            CloudRequest::Rent(_) => CloudReply::NoCapacity,
+            CloudRequest::Delete(_) => CloudReply::NoCapacity,
+            CloudRequest::List { .. } => {
+                let machines = (0..MACHINES).map(|number| {
+                    let addr = format!("127.0.0.{number}:9000").parse().unwrap();
+                    listed(&format!("vm-{number:06}"), addr, "a")
+                });
+                CloudReply::List(protocol::cloud::MachineList {
+                    machines: machines.collect(),
+                    more: false,
+                })
+            }
+        }
+    }
+
+    fn command(
+        &mut self,
+        cell: usize,
+        tag: WorkerTag,
+        addr: &str,
+        orders: Option<protocol::worker::DirectOrders>,
+    ) {
+        let number = addr
+            .strip_prefix("127.0.0.")
+            .and_then(|rest| rest.split(':').next());
+        let number: usize = number.and_then(|number| number.parse().ok()).unwrap();
+        let now = self.now;
+        let machine = &mut self.cells[cell].machines[number];
+        let executed = orders.is_none_or(|direct| {
+            direct.session == machine.session()
+                && machine.obey(direct.token, direct.orders, now, &*self.shared)
+        });
+        let report = machine.report();
+        let reply = if executed {
+            WorkerReply::Executed(report)
+        } else {
+            WorkerReply::Rejected(report)
+        };
+        let command = Command::Worker {
+            tag,
+            result: Some(reply),
+        };
+        self.at(2, cell, What::Command(Box::new(command)));
+    }
+
+    fn answer(&mut self, cell: usize, id: AskId, answer: Answer) {
+        let now = self.now;
+        let cell = &mut self.cells[cell];
+        match cell.asks.remove(&id) {
+            Some(Some(machine)) if answer.status == 200 => {
+                let orders: Orders = protocol::decode(&answer.body).unwrap();
+                let machine = &mut cell.machines[machine];
+                let session = machine.session();
+                if machine.renewed(now, session, orders.token) {
+                    machine.obey(orders.token, orders.orders, now, &*self.shared);
+                }
+            }
+            Some(None) => cell.answers.push(answer),
+            _ => {}
+        }
+    }
+
+    fn submit(&mut self, cell: usize, job: u64, tasks: u32) {
+        self.send(cell, job, tasks);
+        self.run(1000);
+        let answer = self.cells[cell].answers.pop().expect("an answer");
+        assert!(matches!(answer.status, 200 | 201), "{answer:?}");
+    }
+
+    fn send(&mut self, cell: usize, job: u64, tasks: u32) {
+        let submission = Submission {
+            id: JobId(job),
+            class: "any".into(),
+            team: "red".into(),
+            kind: Kind::Array,
+            priority: Priority::Normal,
+            tasks,
+            cpus: 1.0,
+            gpus: 0.0,
+            ram_gb: 1.0,
+            image: "img".into(),
+            image_gb: 0.1,
+            types: None,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: false,
+            estimate_s: 600.0,
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            deadline_s: None,
+            awaits: Vec::new(),
+        };
+        self.next += 1;
+        let id = self.next;
+        self.cells[cell].asks.insert(id, None);
+        self.step(cell, Command::Ask(id, Ask::Submit(Box::new(submission))));
+    }
+
+    /// All cells' settings files name other teams.
+    fn configure(&mut self, teams: &[serde_json::Value]) {
+        self.teams = teams.to_vec();
+        for cell in 0..self.cells.len() {
+            let teams: Vec<Team> = teams
+                .iter()
+                .map(|team| serde_json::from_value(team.clone()).unwrap())
+                .collect();
+            self.step(cell, Command::Teams(teams));
+        }
+    }
+
+    /// The cell's process ends and is back at once.
+    fn restart(&mut self, cell: usize) {
+        let config = config(cell, self.cells.len(), &self.teams);
+        let now = self.now;
+        let restarted = &mut self.cells[cell];
+        restarted.life += 1;
+        restarted.began = now;
+        restarted.node = Node::new(config);
+        restarted.statements.clear();
+        self.at(0, cell, What::Tick);
+    }
+
+    fn running(&self, cell: usize) -> usize {
+        let machines = self.cells[cell].machines.iter();
+        machines.map(|machine| machine.on()).sum()
+    }
+
+    fn used(&self) -> f64 {
+        self.shared.0.lock().unwrap().used
+    }
+
+    fn limit(&self, limit: f64) {
+        self.shared.0.lock().unwrap().limit = limit;
+    }
+
+    /// For how long the oldest change has waited, and in which cells it is not in force, by its home's word.
+    fn waiting(&mut self) -> (u64, Vec<String>) {
+        let (mut oldest, mut behind) = (0, Vec::new());
+        for cell in &mut self.cells {
+            let status = cell.node.status();
+            let Some(quotas) = status.quotas else {
+                continue;
+            };
+            oldest = oldest.max(quotas.oldest_change_ms);
+            let cells = quotas.behind.into_iter().filter(|(_, teams)| *teams > 0);
+            behind.extend(cells.map(|(cell, _)| cell));
+        }
+        (oldest, behind)
+    }
+
+    /// Runs until the latest change is in force everywhere; how long that took.
+    fn until_in_force(&mut self, most: u64) -> u64 {
+        let began = self.now;
+        // The change has to be seen before it can be in force.
+        self.run(200);
+        while self.waiting().0 > 0 {
+            assert!(
+                self.now < began + most,
+                "not in force: {:?}",
+                self.waiting()
+            );
+            self.run(100);
+        }
+        self.now - began
+    }
+}
+
+#[test]
+fn a_team_uses_its_limit_over_all_cells_and_no_more() {
+    let mut world = World::new(3, 24.0);
+    world.run(5000);
+    world.submit(0, 1, 40);
+    world.run(5000);
+    assert_eq!(world.running(0), 24, "units move to the demand");
+    world.submit(1, 2, 40);
+    world.run(10_000);
+    assert_eq!(
+        (world.running(0), world.running(1)),
+        (24, 0),
+        "nobody is stopped for it"
+    );
+    assert_eq!(world.used(), 24.0);
+}
+
+#[test]
+fn limits_change_within_six_seconds_up_and_down() {
+    let mut world = World::new(3, 24.0);
+    world.run(5000);
+    for cell in 0..3 {
+        world.submit(cell, 1 + cell as u64, 40);
+    }
+    world.run(5000);
+    assert_eq!(world.used(), 24.0);
+    world.limit(60.0);
+    world.configure(&[team(60.0)]);
+    let took = world.until_in_force(IN_FORCE);
+    world.run(3000);
+    assert_eq!(world.used(), 60.0, "in force after {took} ms");
+    // What runs above the lowered limit is stopped, and nothing else.
+    world.configure(&[team(20.0)]);
+    let took = world.until_in_force(IN_FORCE);
+    assert_eq!(world.used(), 20.0, "in force after {took} ms");
+    world.limit(20.0);
+    world.run(20_000);
+    assert_eq!(world.used(), 20.0);
+}
+
+#[test]
+fn a_cell_that_is_cut_off_keeps_what_it_holds_and_is_named() {
+    let mut world = World::new(3, 60.0);
+    world.run(5000);
+    for cell in 0..3 {
+        world.send(cell, 1 + cell as u64, 60);
+    }
+    world.run(8000);
+    assert_eq!(world.used(), 60.0);
+    let all = [0, 1, 2].map(|cell| world.running(cell));
+    assert!(all.iter().all(|running| *running >= 10), "{all:?}");
+    // A cell that is no home of the team.
+    let home = dalelb::bookkeeping::quota::home_of("red", &(0..3).map(name).collect::<Vec<_>>())
+        .map(str::to_owned)
+        .unwrap();
+    let far = (0..3).find(|cell| name(*cell) != home).unwrap();
+    let held = world.running(far);
+    world.cut[far] = true;
+    world.run(1000);
+    world.configure(&[team(30.0)]);
+    world.run(120_000);
+    assert_eq!(world.running(far), held, "it keeps what it holds");
+    let near: usize = (0..3)
+        .filter(|cell| *cell != far)
+        .map(|cell| world.running(cell))
+        .sum();
+    assert_eq!(
+        near, 20,
+        "the others come down to a third each of the limit"
+    );
+    let (oldest, behind) = world.waiting();
+    assert!(oldest > 100_000, "{oldest}");
+    assert_eq!(behind, [name(far)]);
+    world.configure(&[team(90.0)]);
+    world.limit(90.0);
+    world.run(60_000);
+    assert_eq!(world.running(far), held, "it gets no more");
+    world.configure(&[team(30.0)]);
+    world.run(5000);
+    world.cut[far] = false;
+    world.until_in_force(IN_FORCE + 2000);
+    world.limit(30.0);
+    world.run(10_000);
+    assert_eq!(world.used(), 30.0);
+}
+
+#[test]
+fn leaders_that_end_while_limits_change_keep_the_sum() {
+    let mut world = World::new(3, 30.0);
+    world.run(5000);
+    for cell in 0..3 {
+        world.submit(cell, 1 + cell as u64, 40);
+    }
+    world.run(5000);
+    for round in 0..12 {
+        let limit = if round % 2 == 0 { 45.0 } else { 15.0 };
+        // While it is being lowered the limit before holds.
+        world.limit(45.0);
+        world.configure(&[team(limit)]);
+        world.run(137 * round);
+        world.restart((round % 3) as usize);
+        if round % 4 == 3 {
+            for cell in 0..3 {
+                world.restart(cell);
+            }
+        }
+        world.run(30_000);
+        assert_eq!(world.used(), limit, "round {round}");
+        world.limit(limit);
+        world.run(2000);
+    }
+}
+
+#[test]
+fn a_team_of_any_limit_and_one_that_is_removed() {
+    let mut world = World::new(2, 0.0);
+    world.limit(f64::INFINITY);
+    world.run(5000);
+    world.submit(0, 1, 50);
+    world.run(5000);
+    assert_eq!(world.running(0), 50, "0 means none");
+    let other = json!({"name": "blue"});
+    // Refused, whole: it still has work.
+    world.configure(std::slice::from_ref(&other));
+    world.run(5000);
+    assert_eq!(world.running(0), 50);
+    world.configure(&[team(10.0), other]);
+    world.until_in_force(IN_FORCE);
+    assert_eq!(world.used(), 10.0);
+}
+
+#[test]
+fn cells_that_know_other_cells_get_nothing_from_each_other() {
+    let mut world = World::new(2, 24.0);
+    // The second one believes in a third.
+    let believes = config(1, 3, &world.teams);
+    world.cells[1].node = Node::new(believes);
+    world.run(5000);
+    world.submit(0, 1, 40);
+    world.submit(1, 2, 40);
+    world.run(20_000);
+    assert_eq!(world.used(), 0.0, "neither is sure of the home");
+    assert!(*world.messages.borrow() > 10, "they do talk");
+    let status = world.cells[0].node.status();
+    assert!(status.quotas.unwrap().refused > 0);
+}
+
+#[test]
+fn without_cells_nothing_of_it_is_stored_or_told() {
+    let mut world = World::new(0, 24.0);
+    world.add_cell(config(0, 0, &[team(24.0)]));
+    world.run(5000);
+    world.submit(0, 1, 40);
+    world.configure(&[team(60.0)]);
+    world.run(10_000);
+    assert_eq!(world.running(0), 24);
+    let mut keys = world.cells[0].store.keys.keys();
+    assert!(keys.all(|key| !key.starts_with("quota/")));
+    assert!(world.cells[0].node.status().quotas.is_none());
+}
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -93,3 +93,24 @@
     assert!(said.contains("zones") && said.contains("lease_s"), "{said}");
     fs::remove_file(path).unwrap();
 }
+
+#[test]
+fn cells_with_a_mistake_are_named_and_end_with_2() {
+    let path = settings("cells", GOOD);
+    let path = path.to_str().unwrap();
+    for (arguments, named) in [
+        (&["--cell", "a b"][..], "a b"),
+        (
+            &["--cell", "north", "--peer-cell", "north=127.0.0.1:1"],
+            "named twice",
+        ),
+        (&["--cell", "north", "--peer-cell", "south"], "ADDRESS:PORT"),
+        (&["--peer-cell", "south=127.0.0.1:1"], "--cell"),
+    ] {
+        let output = dalelb(&[&["serve", "--config", path], arguments].concat());
+        let said = String::from_utf8_lossy(&output.stderr);
+        assert_eq!(output.status.code(), Some(2), "{said}");
+        assert!(said.contains(named), "{said}");
+    }
+    fs::remove_file(path).unwrap();
+}
--- a/tests/histories/main.rs
+++ b/tests/histories/main.rs
@@ -874,6 +874,9 @@
                     self.at(time, What::Relay(index, life, other, id, Box::new(ask)));
                 }
             }
+            Effect::Exchange { .. } | Effect::Stated(..) => {
+                panic!("one deployment by itself has nobody to share quotas with")
+            }
             Effect::Leading(leads) => {
                 if leads {
                     self.leader = Some(index);
--- a/tests/scheduling.rs
+++ b/tests/scheduling.rs
@@ -802,3 +802,82 @@
     }
     assert_eq!(waiting(&books), 1, "it holds three more");
 }
+
+fn running(books: &mut Books, spec: &Submission, on: &[u32]) -> JobIx {
+    let job = books.add_job(spec, 0, 0).expect("a known team");
+    for (task, machine) in on.iter().enumerate() {
+        books.place(job, task as u32, MachineIx(*machine), 0);
+        let at = books.machines[*machine as usize].attempts.len() - 1;
+        books.advance(
+            MachineIx(*machine),
+            at,
+            Phase::Running,
+            10 * (task as u64 + 1),
+        );
+    }
+    job
+}
+
+fn excess(cpus: f64) -> Amounts {
+    Amounts {
+        cpus,
+        ..Amounts::default()
+    }
+}
+
+#[test]
+fn a_team_above_its_limit_stops_the_least_urgent_and_what_loses_least() {
+    let mut books = books((0.0, 0.0), (0.0, 0.0), 4);
+    let urgent = Submission {
+        priority: Priority::High,
+        ..job(1, "red", 2, 4.0)
+    };
+    let urgent = running(&mut books, &urgent, &[0, 1]);
+    let plain = running(&mut books, &job(2, "red", 3, 4.0), &[1, 2, 3]);
+    let other = running(&mut books, &job(3, "blue", 1, 4.0), &[3]);
+    let team = books.job(plain).team;
+    let stopped = |cpus: f64, books: &Books| -> Vec<(JobIx, u32)> {
+        let victims = scheduler::above(books, team, &excess(cpus), 60_000);
+        let attempts = victims
+            .iter()
+            .map(|(on, at)| &books.machine(*on).attempts[*at]);
+        attempts
+            .map(|attempt| (attempt.job, attempt.task))
+            .collect()
+    };
+    // The last one to begin has least to lose.
+    assert_eq!(stopped(4.0, &books), [(plain, 2)]);
+    assert_eq!(
+        stopped(4.5, &books),
+        [(plain, 2), (plain, 1)],
+        "whole tasks"
+    );
+    let all = stopped(16.0, &books);
+    assert_eq!(all.len(), 4);
+    assert!(all.contains(&(urgent, 1)) && !all.iter().any(|(job, _)| *job == other));
+    assert!(stopped(0.0, &books).is_empty());
+    // What already has to stop counts.
+    books.stop(MachineIx(2), 0, 0.0);
+    assert!(stopped(4.0, &books).is_empty());
+    assert_eq!(stopped(8.0, &books), [(plain, 2)]);
+}
+
+#[test]
+fn a_gang_above_its_limit_is_stopped_whole() {
+    let mut books = books((0.0, 0.0), (0.0, 0.0), 3);
+    let gang = Submission {
+        kind: Kind::Gang,
+        priority: Priority::Low,
+        ..job(1, "red", 3, 4.0)
+    };
+    running(&mut books, &gang, &[0, 1, 2]);
+    running(&mut books, &job(2, "red", 1, 4.0), &[0]);
+    let team = books.job(JobIx(0)).team;
+    let victims = scheduler::above(&books, team, &excess(4.0), 60_000);
+    assert_eq!(victims.len(), 3);
+    assert!(
+        victims
+            .iter()
+            .all(|(on, at)| books.machine(*on).attempts[*at].job == JobIx(0))
+    );
+}
