--- a/crates/scale/src/drill.rs
+++ b/crates/scale/src/drill.rs
@@ -20,12 +20,10 @@
     experiment::Run,
     process::Usage,
     region::{RunError, SettingsFiles, team_name, team_settings},
-    rules::{Rules, StartTimes},
+    rules::{self, Rules, StartTimes},
     settings::{Drill, Experiment},
 };
 
-/// A limit that was replaced may still be in force somewhere for that long, where all regions are reached.
-const REPLACED: Duration = Duration::from_secs(20);
 /// How a controller tells of a change that is in force.
 const IN_FORCE: &str = "a quota's change is in force ";
 
@@ -86,6 +84,8 @@
 struct Limits {
     current: Vec<f64>,
     replaced: Vec<Vec<(Instant, f64)>>,
+    /// How long a limit that was replaced may still be in force, where all regions are reached.
+    stays: Duration,
     /// A region is cut off since then, or was until shortly before: what was in force stays so there.
     kept_since: Option<Instant>,
 }
@@ -93,10 +93,10 @@
 impl Limits {
     /// The most that a team may use now.
     fn allowed(&mut self, team: usize) -> f64 {
-        let kept_since = self.kept_since;
+        let (kept_since, stays) = (self.kept_since, self.stays);
         let counts = |at: &Instant| {
-            let kept = kept_since.is_some_and(|since| *at + REPLACED >= since);
-            kept || at.elapsed() < REPLACED
+            let kept = kept_since.is_some_and(|since| *at + stays >= since);
+            kept || at.elapsed() < stays
         };
         self.replaced[team].retain(|(at, _)| counts(at));
         let replaced = self.replaced[team].iter().map(|(_, limit)| *limit);
@@ -129,6 +129,7 @@
             limits: Arc::new(Mutex::new(Limits {
                 current: vec![limit; experiment.teams],
                 replaced: vec![Vec::new(); experiment.teams],
+                stays: Duration::from_secs_f64(drill.replaced_s),
                 kept_since: None,
             })),
             rules: run.rules.clone(),
@@ -198,8 +199,9 @@
         if !cut {
             // What the region held comes back in a moment.
             let changes = self.clone();
+            let stays = self.limits().stays;
             tokio::spawn(async move {
-                tokio::time::sleep(REPLACED).await;
+                tokio::time::sleep(stays).await;
                 changes.limits().kept_since = None;
             });
         }
@@ -259,7 +261,7 @@
                 let number = line.split("took_ms=").nth(1);
                 let number = number.and_then(|rest| rest.split(' ').next());
                 let number: Option<u64> = number.and_then(|text| text.parse().ok());
-                took.saturating_record(number.unwrap_or(0));
+                rules::record(&mut took, number.unwrap_or(0));
             }
         }
         took
@@ -342,7 +344,7 @@
     let mut logs = Logs::default();
     let steady = Duration::from_secs_f64(drill.steady_s);
     // The first limits have to be in force before any is held to them.
-    run.pass(REPLACED).await?;
+    run.pass(Duration::from_secs_f64(drill.replaced_s)).await?;
     logs.in_force(run);
     tokio::spawn(changes.clone().go_on(drill.clone()));
     let last = run.regions.len() - 1;
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -192,7 +192,11 @@
         results.save(result)?;
     }
     progress(plans.len(), plans.len(), began, "done\n");
-    let _ = std::fs::remove_dir_all(&places.directory);
+    if broken == 0 {
+        let _ = std::fs::remove_dir_all(&places.directory);
+    } else {
+        eprintln!("logs: {}", places.directory.display());
+    }
     Ok(broken)
 }
 
--- a/crates/scale/src/page.rs
+++ b/crates/scale/src/page.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     fit::{Line, spread},
-    measure::{Figures, Point},
+    measure::Point,
     rules::StartTimes,
     settings::Varied,
 };
@@ -24,6 +24,15 @@
     (Varied::FinishedJobs, 1_200_000.0),
 ];
 
+/// The same of today's largest site, 1,367 machines and 27 starts a second, its jobs of one day.
+const TODAY: [(Varied, f64); 5] = [
+    (Varied::Workers, 1367.0),
+    (Varied::StartsPerS, 27.0),
+    (Varied::RunS, 8.0),
+    (Varied::Teams, 3.0),
+    (Varied::FinishedJobs, 86_400.0),
+];
+
 /// Growth that is less than this part of the figure over the whole sweep is not told of.
 const NO_GROWTH: f64 = 0.15;
 
@@ -31,34 +40,120 @@
 struct Followed {
     name: &'static str,
     unit: &'static str,
-    of: fn(&Figures) -> Option<f64>,
+    of: fn(&Point) -> Option<f64>,
+    /// What carries it.
+    by: &'static str,
 }
 
-const FOLLOWED: [Followed; 22] = [
-    followed("leader, processor", "ms/s", |f| Some(f.leader_cpu_ms)),
-    followed("follower, processor", "ms/s", |f| Some(f.follower_cpu_ms)),
-    followed("leader, memory", "MB", |f| Some(f.leader_mb)),
-    followed("follower, memory", "MB", |f| Some(f.follower_mb)),
-    followed("leader, sockets", "", |f| Some(f.leader_sockets)),
-    followed("follower, sockets", "", |f| Some(f.follower_sockets)),
-    followed("reports", "1/s", |f| Some(f.reports)),
-    followed("reports, bytes", "KB/s", |f| Some(f.report_bytes / 1e3)),
-    followed("commands", "1/s", |f| Some(f.commands)),
-    followed("commands, bytes", "KB/s", |f| Some(f.command_bytes / 1e3)),
-    followed("state, requests", "1/s", |f| Some(f.state_requests)),
-    followed("state, writes", "1/s", |f| Some(f.state_writes)),
-    followed("state, transactions", "KB/s", |f| {
-        Some(f.state_txn_bytes / 1e3)
+const FOLLOWED: [Followed; 24] = [
+    followed(
+        "leader, processor",
+        "ms/s",
+        "one thread; a leader for each cell",
+        |p| Some(p.figures.leader_cpu_ms),
+    ),
+    followed(
+        "follower, processor",
+        "ms/s",
+        "followers take users only",
+        |p| Some(p.figures.follower_cpu_ms),
+    ),
+    followed("leader, memory", "MB", "books of one cell", |p| {
+        Some(p.figures.leader_mb)
+    }),
+    followed("follower, memory", "MB", "the directory of jobs", |p| {
+        Some(p.figures.follower_mb)
+    }),
+    followed(
+        "leader, sockets",
+        "",
+        "all workers report to the leader",
+        |p| Some(p.figures.leader_sockets),
+    ),
+    followed("follower, sockets", "", "users' connections", |p| {
+        Some(p.figures.follower_sockets)
+    }),
+    followed("reports", "1/s", "each worker, and its changes", |p| {
+        Some(p.figures.reports)
+    }),
+    followed("reports, bytes", "KB/s", "", |p| {
+        Some(p.figures.report_bytes / 1e3)
+    }),
+    followed(
+        "commands",
+        "1/s",
+        "direct commands, all starts of a machine in one",
+        |p| Some(p.figures.commands),
+    ),
+    followed("commands, bytes", "KB/s", "", |p| {
+        Some(p.figures.command_bytes / 1e3)
     }),
-    followed("state, keys", "", |f| Some(f.state_keys)),
-    followed("state, stored", "MB", |f| Some(f.state_bytes / 1e6)),
-    followed("mesh, bytes", "KB/s", |f| Some(f.mesh_bytes / 1e3)),
-    followed("users, bytes", "KB/s", |f| Some(f.user_bytes / 1e3)),
-    followed("starts reached", "1/s", |f| Some(f.starts)),
-    followed("urgent, p99 to start", "ms", |f| p99(&f.urgent)),
-    followed("other, p99 to start", "ms", |f| p99(&f.other)),
-    followed("start to ready", "s", |f| Some(f.ready_s)),
-    followed("leader's end to books", "s", |f| f.takeover_s),
+    followed("a worker's messages", "1/s", "", |p| {
+        Some((p.figures.reports + p.figures.commands) / p.experiment.workers as f64)
+    }),
+    followed("a worker's bytes", "B/s", "", |p| {
+        Some((p.figures.report_bytes + p.figures.command_bytes) / p.experiment.workers as f64)
+    }),
+    followed(
+        "state, requests",
+        "1/s",
+        "syncs, watches and the log of one cell",
+        |p| Some(p.figures.state_requests),
+    ),
+    followed(
+        "state, writes",
+        "1/s",
+        "the log: an entry holds many changes",
+        |p| Some(p.figures.state_writes),
+    ),
+    followed("state, transactions", "KB/s", "the log", |p| {
+        Some(p.figures.state_txn_bytes / 1e3)
+    }),
+    followed(
+        "state, keys",
+        "",
+        "missing: finished jobs are kept for good",
+        |p| Some(p.figures.state_keys),
+    ),
+    followed(
+        "state, stored",
+        "MB",
+        "missing: finished jobs are kept for good",
+        |p| Some(p.figures.state_bytes / 1e6),
+    ),
+    followed(
+        "mesh, bytes",
+        "KB/s",
+        "progress of unfinished jobs, each second",
+        |p| Some(p.figures.mesh_bytes / 1e3),
+    ),
+    followed("users, bytes", "KB/s", "any node answers", |p| {
+        Some(p.figures.user_bytes / 1e3)
+    }),
+    followed("starts reached", "1/s", "the log", |p| {
+        Some(p.figures.starts)
+    }),
+    followed(
+        "urgent, p99 to start",
+        "ms",
+        "rounds each 40 ms, one entry of the log at a time",
+        |p| p99(&p.figures.urgent),
+    ),
+    followed("other, p99 to start", "ms", "the same", |p| {
+        p99(&p.figures.other)
+    }),
+    followed(
+        "start to ready",
+        "s",
+        "missing: every job is read at the start",
+        |p| Some(p.figures.ready_s),
+    ),
+    followed(
+        "leader's end to books",
+        "s",
+        "a lease of 3.5 s, then the log",
+        |p| p.figures.takeover_s,
+    ),
 ];
 
 /// `None`: nothing of the kind started.
@@ -69,9 +164,10 @@
 const fn followed(
     name: &'static str,
     unit: &'static str,
-    of: fn(&Figures) -> Option<f64>,
+    by: &'static str,
+    of: fn(&Point) -> Option<f64>,
 ) -> Followed {
-    Followed { name, unit, of }
+    Followed { name, unit, of, by }
 }
 
 /// Why a page can't be renewed.
@@ -105,7 +201,7 @@
     fn of(points: &[&Point], figure: &Followed) -> Option<Self> {
         let mut at: BTreeMap<u64, Vec<f64>> = BTreeMap::new();
         for point in points {
-            if let Some(value) = (figure.of)(&point.figures) {
+            if let Some(value) = (figure.of)(point) {
                 at.entry(point.value.to_bits()).or_default().push(value);
             }
         }
@@ -223,27 +319,32 @@
     text.push('\n');
 }
 
-/// What a region at the target needs: what was run at the base, and for each sweep along which the figure grows its
-/// slope times the way from there to the target. Beside it what was run without varying anything.
-fn target(text: &mut String, results: &[Vec<Point>]) {
-    text.push_str(
-        "| figure | unit | at the base | a region at the target, by slopes | by the slopes of | marks | as run |\n",
-    );
-    text.push_str("| --- | --- | --- | --- | --- | --- | --- |\n");
-    let as_run = results.iter().flatten();
-    let mut as_run = as_run.filter(|point| point.vary.is_none() && point.drill.is_none());
-    let as_run = as_run.next_back();
-    for figure in &FOLLOWED {
-        let run = as_run.and_then(|point| (figure.of)(&point.figures));
-        let run = run.map_or("not run".to_owned(), number);
-        let (name, unit) = (figure.name, figure.unit);
-        let Some(base) = at_base(&results[0], figure) else {
-            let _ = writeln!(text, "| {name} | {unit} | not measured | | | | {run} |");
-            continue;
-        };
+/// What stands somewhere by the slopes: what was run at the base, and for each sweep along which the figure grows its
+/// slope times the way from there.
+struct Extended {
+    value: f64,
+    along: Vec<&'static str>,
+    /// Beyond the largest value that was run.
+    beyond: bool,
+    /// Along points that are no line.
+    bent: bool,
+}
+
+impl Extended {
+    fn of(
+        results: &[Vec<Point>],
+        figure: &Followed,
+        place: &[(Varied, f64)],
+        base: f64,
+    ) -> Extended {
         let noise = noise(results, figure);
-        let (mut value, mut by, mut beyond, mut bent) = (base, Vec::new(), false, false);
-        for (vary, to) in TARGET {
+        let mut extended = Extended {
+            value: base,
+            along: Vec::new(),
+            beyond: false,
+            bent: false,
+        };
+        for &(vary, to) in place {
             let sweeps = results.iter().rev().map(|points| of_sweep(points, vary));
             let Some(points) = sweeps
                 .into_iter()
@@ -255,33 +356,112 @@
             let Some(growth) = growth.filter(|growth| growth.grows(noise)) else {
                 continue;
             };
-            value += growth.line.slope * (to - points[0].base);
-            beyond |= to > growth.to.0;
-            bent |= !growth.line.holds(noise);
-            by.push(vary.name());
+            extended.value += growth.line.slope * (to - points[0].base);
+            extended.beyond |= to > growth.to.0;
+            extended.bent |= !growth.line.holds(noise);
+            extended.along.push(vary.name());
         }
-        let marks = [(beyond, "extrapolated"), (bent, "no line")];
+        extended
+    }
+
+    fn marks(&self) -> String {
+        let marks = [(self.beyond, "extrapolated"), (self.bent, "no line")];
         let marks = marks.iter().filter(|(holds, _)| *holds);
         let marks: Vec<&str> = marks.map(|(_, mark)| *mark).collect();
+        marks.join(", ")
+    }
+}
+
+/// Today's largest site and a region at the target by the slopes, and what was run without varying anything.
+fn target(text: &mut String, results: &[Vec<Point>]) {
+    text.push_str("| figure | unit | today's largest site, by slopes | a region at the target, by slopes | along | marks | a region at the target, as run | carried by |\n");
+    text.push_str("| --- | --- | --- | --- | --- | --- | --- | --- |\n");
+    let as_run = results.iter().flatten();
+    let mut as_run = as_run.filter(|point| point.vary.is_none() && point.drill.is_none());
+    let as_run = as_run.next_back();
+    for figure in &FOLLOWED {
+        let run = as_run.and_then(figure.of);
+        let run = run.map_or("not run".to_owned(), number);
+        let (name, unit, by) = (figure.name, figure.unit, figure.by);
+        let Some(base) = at_base(&results[0], figure) else {
+            let _ = writeln!(
+                text,
+                "| {name} | {unit} | not measured | | | | {run} | {by} |"
+            );
+            continue;
+        };
+        let today = Extended::of(results, figure, &TODAY, base);
+        let then = Extended::of(results, figure, &TARGET, base);
         let _ = writeln!(
             text,
-            "| {name} | {unit} | {} | {} | {} | {} | {run} |",
-            number(base),
-            number(value),
-            by.join(", "),
-            marks.join(", ")
+            "| {name} | {unit} | {} | {} | {} | {} | {run} | {by} |",
+            number(today.value.max(0.0)),
+            number(then.value.max(0.0)),
+            then.along.join(", "),
+            then.marks(),
         );
     }
     text.push('\n');
+    drills(text, results);
+}
+
+/// What went on in each drill.
+fn drills(text: &mut String, results: &[Vec<Point>]) {
+    for point in results.iter().flatten() {
+        let (Some(drill), Some(wanted)) = (&point.drill, &point.experiment.drill) else {
+            continue;
+        };
+        let _ = writeln!(
+            text,
+            "A drill: {} regions as cells, {} workers and {} controllers in all, {} teams, links of {} ms one way, {} changes of limits; {} rules broken; the leader's end to books {} s.\n",
+            point.experiment.regions,
+            number(drill.workers as f64),
+            point.experiment.processes(),
+            point.experiment.teams,
+            wanted.link_ms,
+            number(drill.changes as f64),
+            point.broken,
+            drill
+                .takeover_s
+                .map_or("not within the time,".to_owned(), number),
+        );
+        text.push_str("| part | s | starts/s | urgent: count, median, p99, worst ms | other: median, p99, worst ms | in force: count, median, p99, worst ms | behind at its end | busiest controller, ms/s | memory of all, MB | a worker's messages/s, B/s | between regions, KB/s |\n");
+        text.push_str("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n");
+        for phase in &drill.phases {
+            let _ = writeln!(
+                text,
+                "| {} | {} | {} | {}, {}, {}, {} | {}, {}, {} | {}, {}, {}, {} | {} | {} | {} | {}, {} | {} |",
+                phase.name,
+                number(phase.seconds),
+                number(phase.starts),
+                phase.urgent.count,
+                phase.urgent.median_ms,
+                phase.urgent.p99_ms,
+                phase.urgent.worst_ms,
+                phase.other.median_ms,
+                phase.other.p99_ms,
+                phase.other.worst_ms,
+                phase.in_force,
+                phase.in_force_median_ms,
+                phase.in_force_p99_ms,
+                phase.in_force_worst_ms,
+                number(phase.behind),
+                number(phase.busiest_cpu_ms),
+                number(phase.memory_mb),
+                number(phase.messages_per_worker),
+                number(phase.bytes_per_worker),
+                number(phase.far_bytes / 1e3),
+            );
+        }
+        text.push('\n');
+    }
 }
 
 /// The mean of all runs of the base itself.
 fn at_base(points: &[Point], figure: &Followed) -> Option<f64> {
     let at_base = points.iter();
     let at_base = at_base.filter(|point| point.vary.is_some() && point.value == point.base);
-    let values: Vec<f64> = at_base
-        .filter_map(|point| (figure.of)(&point.figures))
-        .collect();
+    let values: Vec<f64> = at_base.filter_map(|point| (figure.of)(point)).collect();
     (!values.is_empty()).then(|| values.iter().sum::<f64>() / values.len() as f64)
 }
 
--- a/crates/scale/src/page/tests.rs
+++ b/crates/scale/src/page/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::settings::Experiment;
+use crate::{measure::Figures, settings::Experiment};
 
 fn point(workers: usize, leader_mb: f64) -> Point {
     Point {
@@ -23,12 +23,12 @@
 #[test]
 fn a_line_leads_to_the_target_and_says_that_it_goes_beyond() {
     let points = [vec![point(500, 30.0), point(1000, 40.0), point(2000, 60.0)]];
-    let page = format!("head\n{BEGIN}\nold\n{END}\ntail\n");
+    let page = format!("head\n{BEGIN}\nwhat stood here\n{END}\ntail\n");
     let renewed = renew(&page, &points).unwrap();
     assert!(renewed.starts_with("head\n") && renewed.ends_with("\ntail\n"));
-    assert!(!renewed.contains("old"));
+    assert!(!renewed.contains("what stood here"));
     // 20 MB and 20 MB for each 1,000 workers; 4,143 of them.
-    let row = "| leader, memory | MB | 40 | 103 | workers | extrapolated | not run |";
+    let row = "| leader, memory | MB | 47.3 | 103 | workers | extrapolated | not run |";
     assert!(renewed.contains(row), "{renewed}");
     assert!(
         renewed.contains("| follower, memory | MB | 20 | 20 |  |  | not run |"),
--- a/crates/scale/src/rules.rs
+++ b/crates/scale/src/rules.rs
@@ -76,6 +76,12 @@
     broken_count: u64,
 }
 
+/// Records a value of any size.
+pub fn record(histogram: &mut Histogram<u64>, value: u64) {
+    let recorded = histogram.record(value);
+    recorded.expect("the histogram grows as it needs");
+}
+
 /// All jobs, and the rules that are checked at every start.
 pub struct Rules {
     inner: Mutex<Inner>,
@@ -109,7 +115,7 @@
             } else {
                 &mut self.other
             };
-            times.saturating_record(waited.as_millis() as u64);
+            record(times, waited.as_millis() as u64);
         }
         if late {
             self.broke(format!("ran_cancelled: {task} starts on {machine}"));
--- a/crates/scale/src/rules/tests.rs
+++ b/crates/scale/src/rules/tests.rs
@@ -78,3 +78,12 @@
     assert_eq!((urgent.count, other.count), (0, 1));
     assert_eq!((rules.starts(), rules.running()), (2, 0));
 }
+
+#[test]
+fn times_of_any_length_are_kept() {
+    let mut histogram = Histogram::new(3).unwrap();
+    for value in [1, 2_000, 60_000, 3_600_000] {
+        record(&mut histogram, value);
+    }
+    assert!(histogram.max() >= 3_600_000, "{}", histogram.max());
+}
--- a/crates/scale/src/settings.rs
+++ b/crates/scale/src/settings.rs
@@ -101,6 +101,8 @@
     pub changes_per_s: f64,
     /// Steady seconds before the first trouble, and after each.
     pub steady_s: f64,
+    /// A limit that was replaced may still be in force somewhere for that long, where all regions are reached.
+    pub replaced_s: f64,
     /// For how long the second region is cut off from the others.
     pub cut_s: f64,
     /// Workers of the last region that are gone at once.
@@ -117,6 +119,7 @@
             link_ms: 150,
             changes_per_s: 10.0,
             steady_s: 30.0,
+            replaced_s: 20.0,
             cut_s: 120.0,
             rack: 40,
             limit_from: 1.2,
--- /dev/null
+++ b/crates/scale/tests/ends.rs
@@ -0,0 +1,118 @@
+//! However a run ends, it says why on one line, keeps its result and leaves no controller behind.
+
+mod common;
+
+use std::{
+    fs,
+    net::TcpListener,
+    path::{Path, PathBuf},
+    process::{Child, Command, Output, Stdio},
+    time::{Duration, Instant},
+};
+
+use common::controller;
+
+/// Far longer than anything here takes.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+struct Files {
+    settings: PathBuf,
+    result: PathBuf,
+}
+
+impl Files {
+    fn new(port: u16) -> Self {
+        let name = |end: &str| {
+            let name = format!("dalelb-ends-{}-{port}.{end}", std::process::id());
+            std::env::temp_dir().join(name)
+        };
+        let (settings, result) = (name("toml"), name("json"));
+        let text = format!("[base]\nworkers = 20\nnodes = 2\nport = {port}\n");
+        fs::write(&settings, text).expect("a settings file");
+        Files { settings, result }
+    }
+
+    fn start(&self, controller: &Path) -> Child {
+        Command::new(env!("CARGO_BIN_EXE_dalelb-scale"))
+            .arg("run")
+            .arg("--settings")
+            .arg(&self.settings)
+            .arg("--result")
+            .arg(&self.result)
+            .arg("--dalelb")
+            .arg(controller)
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the program runs")
+    }
+
+    /// Its code and its last line; the result so far has to be there.
+    fn ended(&self, output: &Output) -> (Option<i32>, String) {
+        let said = String::from_utf8_lossy(&output.stderr).into_owned();
+        let text = fs::read_to_string(&self.result).expect("a result");
+        assert!(text.contains("points"), "{text}");
+        fs::remove_file(&self.settings).expect("the settings file");
+        fs::remove_file(&self.result).expect("the result");
+        let last = said.lines().last().unwrap_or_default();
+        (output.status.code(), last.to_owned())
+    }
+}
+
+/// Whether a controller with settings of that run is there.
+fn controllers_of(run: u32) -> bool {
+    let mark = format!("dalelb-scale-{run}/");
+    let processes = fs::read_dir("/proc").expect("processes");
+    let commands = processes
+        .flatten()
+        .map(|process| process.path().join("cmdline"));
+    commands
+        .filter_map(|path| fs::read_to_string(path).ok())
+        .any(|command| command.contains(&mark) && command.contains("serve"))
+}
+
+#[test]
+fn a_port_that_is_taken_is_named() {
+    let _taken = TcpListener::bind("127.0.1.1:27000").expect("a free port");
+    let files = Files::new(27_000);
+    let output = files
+        .start(&controller())
+        .wait_with_output()
+        .expect("it ends");
+    let (code, last) = files.ended(&output);
+    assert_eq!(code, Some(3), "{last}");
+    assert!(last.contains("cannot listen on 127.0.1.1:27000"), "{last}");
+}
+
+#[test]
+fn a_controller_that_ends_by_itself_is_named() {
+    let files = Files::new(27_100);
+    let child = files.start(Path::new("/bin/false"));
+    let output = child.wait_with_output().expect("it ends");
+    let (code, last) = files.ended(&output);
+    assert_eq!(code, Some(3), "{last}");
+    assert!(last.contains("ended by itself"), "{last}");
+}
+
+#[test]
+fn an_interrupted_run_leaves_no_controller_behind() {
+    let files = Files::new(27_200);
+    let child = files.start(&controller());
+    let run = child.id();
+    let began = Instant::now();
+    while !controllers_of(run) {
+        assert!(began.elapsed() < PATIENCE, "no controller starts");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    let signalled = Command::new("kill")
+        .args(["-INT", &run.to_string()])
+        .status();
+    assert!(signalled.expect("kill runs").success());
+    let output = child.wait_with_output().expect("it ends");
+    let (code, last) = files.ended(&output);
+    assert_eq!(code, Some(130), "{last}");
+    assert!(last.contains("interrupted"), "{last}");
+    while controllers_of(run) {
+        assert!(began.elapsed() < PATIENCE, "a controller is left");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
