Drill: what was in force when a region was cut off counts until it is back

A second drill, 7 regions and 11,900 workers, told of 14 broken limits, all in the moments after the cut was mended: the tool took the moment of the mend for the beginning of the cut, and held the region to limits that it had never heard of. What asks a cell to return units for another's sake stops nothing: a test of its own for what the first drill found. Replicas are spread over all teams in a drill; a fifth of them had had more replicas than their limits allowed, and their arrays waited for good. The stand-in keeps changes of watched keys only.

--- a/crates/scale/src/drill.rs
+++ b/crates/scale/src/drill.rs
@@ -194,10 +194,11 @@
         }
     }
 
+    /// Limits that were in force when a region was cut off may stay so there until it is back, and a moment longer.
     fn cut(&self, cut: bool) {
-        self.limits().kept_since = Some(Instant::now());
-        if !cut {
-            // What the region held comes back in a moment.
+        if cut {
+            self.limits().kept_since = Some(Instant::now());
+        } else {
             let changes = self.clone();
             let stays = self.limits().stays;
             tokio::spawn(async move {
@@ -374,3 +375,6 @@
     figures.phases = phases;
     Ok(figures)
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/scale/src/users.rs
+++ b/crates/scale/src/users.rs
@@ -32,7 +32,7 @@
 const PATIENCE: Duration = Duration::from_secs(60);
 /// Users who call a job off do so this long after it was accepted.
 const CANCEL_AFTER: Duration = Duration::from_secs(2);
-/// Replicas of one service.
+/// Replicas of one service, at the most.
 const REPLICAS: u32 = 200;
 /// Users who submit one service after another at the start.
 const SERVICE_USERS: u64 = 8;
@@ -102,7 +102,7 @@
         if experiment.replica_cpus <= 0.0 {
             return;
         }
-        let services = (experiment.workers as u32).div_ceil(REPLICAS);
+        let services = (experiment.workers as u32).div_ceil(self.replicas());
         let next = Arc::new(AtomicU64::new(0));
         let users: Vec<_> = (0..SERVICE_USERS)
             .map(|_| tokio::spawn(self.clone().fill_in_turn(next.clone(), services)))
@@ -112,18 +112,29 @@
         }
     }
 
+    /// Replicas of one service: where teams have limits, each has as many of them.
+    fn replicas(&self) -> u32 {
+        let experiment = &self.experiment;
+        let each = (experiment.workers as u32).div_ceil(experiment.teams as u32);
+        if experiment.drill.is_some() {
+            each.min(REPLICAS)
+        } else {
+            REPLICAS
+        }
+    }
+
     async fn fill_in_turn(self, next: Arc<AtomicU64>, services: u32) {
         loop {
             let number = next.fetch_add(1, Ordering::Relaxed) as u32;
             if number >= services {
                 return;
             }
-            let left = self.experiment.workers as u32 - number * REPLICAS;
+            let left = self.experiment.workers as u32 - number * self.replicas();
             let wanted = Wanted {
                 kind: Kind::Service,
                 class: "replica",
                 priority: Priority::Production,
-                tasks: left.min(REPLICAS),
+                tasks: left.min(self.replicas()),
                 cpus: self.experiment.replica_cpus,
                 run_s: None,
             };
--- a/crates/standin/src/state_service.rs
+++ b/crates/standin/src/state_service.rs
@@ -171,6 +171,8 @@
     pub fn start(listener: TcpListener, limits: Limits, pace: Pace) -> Self {
         let mut store = Store::new(limits);
         store.kept = KEPT_CHANGES;
+        // Nodes watch nothing else, and the values of all other keys take gigabytes.
+        store.watched = Some(schema::SHARED);
         let service = StateService {
             inner: Arc::new(Mutex::new(Inner {
                 store,
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -52,6 +52,8 @@
     pub log: VecDeque<(u64, Event)>,
     /// So many changes are kept for watches; older ones are gone.
     pub kept: usize,
+    /// Only changes of keys with this prefix are kept, and no others are asked for.
+    pub watched: Option<&'static str>,
     /// The revision of the last change that is gone.
     pub forgotten: u64,
     pub next_lease: u64,
@@ -67,6 +69,7 @@
             leases: BTreeMap::new(),
             log: VecDeque::new(),
             kept: usize::MAX,
+            watched: None,
             forgotten: 0,
             next_lease: 0,
             down_until: 0,
@@ -197,7 +200,12 @@
                             }
                         }
                     };
-                    self.log.push_back((self.revision, event));
+                    let key = match write {
+                        Write::Put { key, .. } | Write::Delete { key } => key,
+                    };
+                    if self.watched.is_none_or(|prefix| key.starts_with(prefix)) {
+                        self.log.push_back((self.revision, event));
+                    }
                 }
                 self.forget();
                 StateReply::Committed(self.revision)
@@ -224,6 +232,7 @@
                 after,
                 hold_ms,
             } => {
+                assert!(self.watched.is_none_or(|watched| watched == *prefix));
                 if *after < self.forgotten {
                     return Some(StateReply::TooOld);
                 }
--- a/src/bookkeeping/quota/holder/tests.rs
+++ b/src/bookkeeping/quota/holder/tests.rs
@@ -115,3 +115,32 @@
     };
     assert_eq!(holder.position(&demand).wanted, quota(80));
 }
+
+/// What a home knows of a cell's use is old when its answer arrives: tasks that had begun since were stopped, and as
+/// long as others kept beginning the cell did not count as obeying.
+#[test]
+fn what_is_asked_back_for_another_cell_stops_nothing() {
+    let mut holder = holder();
+    let asked = Grant {
+        lowered: false,
+        ..grant(2, 100, 40)
+    };
+    holder.hear("home", asked).unwrap();
+    let used = quota(60);
+    assert_eq!(holder.excess(used), Quota::ZERO);
+    assert_eq!(holder.ceiling(), quota(40), "nothing new begins above it");
+    let record = holder.next(used).unwrap();
+    holder.stored_as(record, 2);
+    assert_eq!(holder.allocation(), used, "what runs is kept");
+    let demand = Demand {
+        used,
+        ..Demand::default()
+    };
+    assert_eq!(holder.position(&demand).version, 2, "obeyed");
+    holder.hear("home", grant(2, 100, 40)).unwrap();
+    assert_eq!(
+        holder.excess(used),
+        quota(20),
+        "a lowered limit is another matter"
+    );
+}
