Quotas: an answer is of the write that it belongs to

Each tenth of a second in which a write of quotas was under way an empty transaction was sent, and its answer was taken for the write's.

Nothing is sent without writes now, and a write's number is in its tag. A test with a slow state service that refuses every other write fails on the code before (16 CPUs used of 8 stored) and passes now; either guard alone suffices for it. Another one restarts homes after many changes.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -316,6 +316,8 @@
     },
     QuotasWritten {
         lease: u64,
+        /// Which write it was.
+        write: u64,
     },
 }
 
@@ -495,7 +497,9 @@
             StateTag::DeputyPut { lease } => self.deputy_put(lease, result),
             StateTag::DeputyTouch { lease } => self.deputy_touched(lease, sent_at, result),
             StateTag::Quotas { lease } => self.quotas_read(lease, result),
-            StateTag::QuotasWritten { lease } => self.quotas_written(lease, result),
+            StateTag::QuotasWritten { lease, write } => {
+                self.quotas_written(lease, write, result);
+            }
         }
     }
 
--- a/src/coordination/quota/mod.rs
+++ b/src/coordination/quota/mod.rs
@@ -94,6 +94,8 @@
     homes: BTreeMap<String, Home>,
     holders: BTreeMap<String, Holder>,
     writing: Vec<Item>,
+    /// Counts writes: an answer is of one of them.
+    writes: u64,
     /// The key that was written last: the next write begins behind it.
     written_last: String,
     worked_at: Millis,
@@ -153,6 +155,7 @@
             homes: BTreeMap::new(),
             holders: BTreeMap::new(),
             writing: Vec::new(),
+            writes: 0,
             written_last: String::new(),
             worked_at: 0,
             exchanges: peers
@@ -644,13 +647,21 @@
             txn.put(key, version, value);
             quotas.writing.push(item);
         }
-        if !quotas.writing.is_empty() {
-            let tag = StateTag::QuotasWritten { lease };
-            self.state(tag, StateRequest::Txn(txn), Urgency::Prompt, TXN_TIMEOUT);
+        if txn.writes.is_empty() {
+            return;
         }
+        quotas.writes += 1;
+        let write = quotas.writes;
+        let tag = StateTag::QuotasWritten { lease, write };
+        self.state(tag, StateRequest::Txn(txn), Urgency::Prompt, TXN_TIMEOUT);
     }
 
-    pub(super) fn quotas_written(&mut self, lease: u64, result: Result<StateReply, StateError>) {
+    pub(super) fn quotas_written(
+        &mut self,
+        lease: u64,
+        write: u64,
+        result: Result<StateReply, StateError>,
+    ) {
         let Some(fate) = self.fate(lease, result) else {
             return;
         };
@@ -662,6 +673,9 @@
         else {
             return;
         };
+        if write != quotas.writes {
+            return;
+        }
         let items = std::mem::take(&mut quotas.writing);
         match fate {
             Fate::Stored(version) => {
--- a/tests/cells.rs
+++ b/tests/cells.rs
@@ -19,7 +19,7 @@
         cloud::{CloudReply, CloudRequest, MachineTypes},
         ids::{JobId, TaskId},
         job::{Kind, Priority, Submission},
-        state::{StateReply, StateRequest},
+        state::{StateError, StateReply, StateRequest, Write},
         worker::{Orders, WorkerReply},
     },
 };
@@ -109,6 +109,11 @@
     teams: Vec<serde_json::Value>,
     cut: Vec<bool>,
     shared: Arc<Shared>,
+    /// How long the state services take, one way.
+    state_ms: u64,
+    /// The state services refuse every other write of quotas.
+    refuses: bool,
+    quota_writes: u64,
     /// Messages between cells that were delivered.
     messages: Rc<RefCell<u64>>,
 }
@@ -156,6 +161,9 @@
             teams: vec![team(limit)],
             cut: vec![false; cells],
             shared,
+            state_ms: STATE,
+            refuses: false,
+            quota_writes: 0,
             messages: Rc::default(),
         };
         for cell in 0..cells {
@@ -262,6 +270,14 @@
         request: StateRequest,
         since: u64,
     ) {
+        if self.refused(&request) {
+            let command = Command::State {
+                tag,
+                sent_at: since - self.cells[cell].began,
+                result: Err(StateError::Refused(429)),
+            };
+            return self.at(self.state_ms, cell, What::Command(Box::new(command)));
+        }
         let mut asked = request.clone();
         if let StateRequest::Changes { hold_ms, .. } = &mut asked {
             *hold_ms = hold_ms.saturating_sub(self.now - since);
@@ -275,12 +291,23 @@
                     sent_at,
                     result,
                 };
-                self.at(STATE, cell, What::Command(Box::new(command)));
+                self.at(self.state_ms, cell, What::Command(Box::new(command)));
             }
             None => self.at(10, cell, What::State(tag, request, since)),
         }
     }
 
+    fn refused(&mut self, request: &StateRequest) -> bool {
+        let StateRequest::Txn(txn) = request else {
+            return false;
+        };
+        let of_quotas = txn.writes.iter().any(|write| match write {
+            Write::Put { key, .. } | Write::Delete { key } => key.starts_with("quota/"),
+        });
+        self.quota_writes += u64::from(of_quotas);
+        self.refuses && of_quotas && self.quota_writes % 2 == 0
+    }
+
     fn step(&mut self, cell: usize, command: Command) {
         let now = Now {
             steady: self.now - self.cells[cell].began,
@@ -296,7 +323,7 @@
         match effect {
             Effect::State { tag, request, .. } => {
                 let since = self.now;
-                self.at(STATE, cell, What::State(tag, request, since));
+                self.at(self.state_ms, cell, What::State(tag, request, since));
             }
             Effect::Cloud { tag, request, .. } => {
                 let result = Ok(self.cloud(cell, &request));
@@ -665,3 +692,66 @@
     assert!(keys.all(|key| !key.starts_with("quota/")));
     assert!(world.cells[0].node.status().quotas.is_none());
 }
+
+/// A home's successor reads all that its predecessor had told: it refuses no cell's word.
+#[test]
+fn a_successor_of_a_home_takes_every_cells_word() {
+    let mut world = World::new(3, 600.0);
+    world.run(5000);
+    for cell in 0..3 {
+        world.send(cell, 1 + cell as u64, 60);
+    }
+    world.run(5000);
+    for round in 0..8 {
+        let limit = [24.0, 60.0, 12.0, 90.0][round % 4];
+        world.configure(&[team(limit)]);
+        world.run(4000);
+    }
+    for cell in 0..3 {
+        world.restart(cell);
+        world.run(10_000);
+        let refused: Vec<u64> = world
+            .cells
+            .iter_mut()
+            .filter_map(|cell| Some(cell.node.status().quotas?.refused))
+            .collect();
+        assert_eq!(refused, [0, 0, 0], "after {cell} was back");
+    }
+}
+
+/// While a write was under way an empty one was sent. If the former was refused, the latter's answer stood for it: grants were told and used
+/// that were stored only later or never, and a home's successor refused the cells that had them.
+#[test]
+fn where_the_state_service_is_slow_and_refuses_nothing_is_used_before_it_is_stored() {
+    let mut world = World::new(3, 600.0);
+    world.run(5000);
+    world.state_ms = 180;
+    world.refuses = true;
+    for cell in 0..3 {
+        world.send(cell, 1 + cell as u64, 60);
+    }
+    for round in 0..200 {
+        if round % 20 == 0 {
+            world.configure(&[team([24.0, 60.0, 12.0, 90.0][round / 20 % 4])]);
+        }
+        world.run(100);
+        for cell in &mut world.cells {
+            let Some((row, ..)) = cell.store.keys.get("quota/hold/red") else {
+                continue;
+            };
+            let units = |total: &str| row["account"][total]["cpus"].as_u64().unwrap();
+            let stored = (units("granted") - units("returned")) as f64 / 1000.0;
+            let quotas = cell.node.status().quotas;
+            let used = quotas.map_or(0.0, |quotas| quotas.teams[0].allocation);
+            assert!(used <= stored, "round {round}: {used} of {stored}");
+        }
+    }
+    for cell in 0..3 {
+        world.restart(cell);
+        world.run(10_000);
+        for cell in &mut world.cells {
+            let quotas = cell.node.status().quotas;
+            assert_eq!(quotas.map_or(0, |quotas| quotas.refused), 0);
+        }
+    }
+}
