Tests: cells whose writes of quotas get no answer, at once or late carried out

Whole nodes now meet writes that are carried out at once or a second after they were given up, while limits change and leaders end: no team above its limit, all in force in the end. No code changed.

--- a/tests/cells.rs
+++ b/tests/cells.rs
@@ -84,6 +84,7 @@
     Report(usize),
     Command(Box<Command>),
     State(dalelb::coordination::StateTag, StateRequest, u64),
+    Late(StateRequest),
     Stated(usize, u64, Box<CellStatement>),
     Answered(u64, String, Option<Box<CellAnswer>>),
 }
@@ -113,11 +114,22 @@
     state_ms: u64,
     /// The state services refuse every other write of quotas.
     refuses: bool,
+    /// Every third write of quotas gets no answer: carried out at once, or late.
+    loses: bool,
     quota_writes: u64,
     /// Messages between cells that were delivered.
     messages: Rc<RefCell<u64>>,
 }
 
+fn of_quotas(request: &StateRequest) -> bool {
+    let StateRequest::Txn(txn) = request else {
+        return false;
+    };
+    txn.writes.iter().any(|write| match write {
+        Write::Put { key, .. } | Write::Delete { key } => key.starts_with("quota/"),
+    })
+}
+
 fn name(cell: usize) -> String {
     format!("cell-{cell}")
 }
@@ -163,6 +175,7 @@
             shared,
             state_ms: STATE,
             refuses: false,
+            loses: false,
             quota_writes: 0,
             messages: Rc::default(),
         };
@@ -245,6 +258,9 @@
             }
             What::Command(command) => self.step(cell, *command),
             What::State(tag, request, since) => self.state(cell, tag, request, since),
+            What::Late(request) => {
+                self.cells[cell].store.serve(&request, self.now);
+            }
             What::Stated(from, lease, statement) => {
                 self.next += 1;
                 let id = self.next;
@@ -278,6 +294,9 @@
             };
             return self.at(self.state_ms, cell, What::Command(Box::new(command)));
         }
+        if self.loses && self.quota_writes % 3 == 0 && of_quotas(&request) {
+            return self.lose(cell, tag, request, since);
+        }
         let mut asked = request.clone();
         if let StateRequest::Changes { hold_ms, .. } = &mut asked {
             *hold_ms = hold_ms.saturating_sub(self.now - since);
@@ -298,14 +317,29 @@
     }
 
     fn refused(&mut self, request: &StateRequest) -> bool {
-        let StateRequest::Txn(txn) = request else {
-            return false;
+        self.quota_writes += u64::from(of_quotas(request));
+        self.refuses && of_quotas(request) && self.quota_writes % 2 == 0
+    }
+
+    /// Carries a write out at once, or a second after its sender has given it up, and answers nothing.
+    fn lose(
+        &mut self,
+        cell: usize,
+        tag: dalelb::coordination::StateTag,
+        request: StateRequest,
+        since: u64,
+    ) {
+        if self.quota_writes % 2 == 0 {
+            self.cells[cell].store.serve(&request, self.now);
+        } else {
+            self.at(3000, cell, What::Late(request));
+        }
+        let command = Command::State {
+            tag,
+            sent_at: since - self.cells[cell].began,
+            result: Err(StateError::NoAnswer),
         };
-        let of_quotas = txn.writes.iter().any(|write| match write {
-            Write::Put { key, .. } | Write::Delete { key } => key.starts_with("quota/"),
-        });
-        self.quota_writes += u64::from(of_quotas);
-        self.refuses && of_quotas && self.quota_writes % 2 == 0
+        self.at(2000, cell, What::Command(Box::new(command)));
     }
 
     fn step(&mut self, cell: usize, command: Command) {
@@ -755,3 +789,25 @@
         }
     }
 }
+
+/// Writes whose answers are lost, carried out at once or late, while limits change and leaders end.
+#[test]
+fn writes_without_an_answer_double_and_lose_nothing() {
+    let mut world = World::new(3, 90.0);
+    world.run(5000);
+    for cell in 0..3 {
+        world.send(cell, 1 + cell as u64, 60);
+    }
+    world.loses = true;
+    for round in 0..12 {
+        let limit = [24.0, 60.0, 12.0, 90.0][round % 4];
+        world.configure(&[team(limit)]);
+        world.run(7000);
+        world.restart(round % 3);
+        world.run(7000);
+    }
+    world.loses = false;
+    world.run(20_000);
+    assert_eq!(world.waiting().0, 0, "in force in the end");
+    assert_eq!(world.used(), 90.0);
+}
