Review stand-ins: several machine types, rented machines, links that refuse

Change: the fleet has types, machines that can be rented, and a check of the types that a job allows; links can refuse; what no case uses is gone.

--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -9,6 +9,7 @@
 use crate::{
     Verdict,
     balancer::Balancer,
+    fleet::MachineType,
     map,
     record::Record,
     site::{Plan, Site},
@@ -19,9 +20,9 @@
 pub fn run(case: &str, root: &Path, record: Record, trouble: bool) -> Verdict {
     let broken = match case {
         "gpu-offer" => gpu_offer(root, record, trouble),
-        "small-tasks" => small_tasks(root, record, trouble),
         "cut-node" => cut_node(root, record, trouble),
-        "mistakes" => mistakes(root, record, trouble),
+        "new-type" => new_type(root, record, trouble),
+        "refused-peers" => refused_peers(root, record, trouble),
         _ => None,
     };
     match broken {
@@ -82,7 +83,18 @@
 /// The cloud's list has a type with GPUs; arrays of two teams, both within their guarantees, come three times as often.
 fn gpu_offer(root: &Path, record: Record, trouble: bool) -> Option<bool> {
     let mut plan = Plan::veloteka();
-    plan.machine_type.offers_gpus = true;
+    // The example of the page on the protocols. None is up, and none is available.
+    plan.types.push(MachineType {
+        name: "g8".into(),
+        cpus: 96.0,
+        ram_gb: 768.0,
+        pull_gb_per_s: 1.0,
+        gpus: 8.0,
+        hourly: 12.0,
+        ready_s: 45.0,
+        up_per_zone: 0,
+        available: 0,
+    });
     plan.objectives = objectives();
     let site = plan.start(root, record.clone())?;
     let mut user = site.user(0);
@@ -116,30 +128,6 @@
     Some(stopped > 0 && 2 * done < jobs.len())
 }
 
-/// Arrays of small tasks, of which hundreds fit on a machine, come three times as often.
-fn small_tasks(root: &Path, record: Record, trouble: bool) -> Option<bool> {
-    let mut plan = Plan::pataka();
-    plan.log_tasks = false;
-    let site = plan.start(root, record.clone())?;
-    let mut user = site.user(0);
-    let count = if trouble { 3 } else { 1 };
-    let jobs: Vec<Job> = (0..count)
-        .map(|number| Job::array(412 + number, "thumbs", "ingest", 600, 0.0175, 0.07, 20.0))
-        .collect();
-    for job in &jobs {
-        submit(&site, &mut user, job)?;
-    }
-    let done = wait_done(&site, &mut user, &jobs, 91.0);
-    let done = done.iter().filter(|done| **done).count();
-    let counts = site.fleet.counts();
-    site.record.say(&format!(
-        "{done} of {} jobs done 90 s after they were accepted; {counts:?}",
-        jobs.len()
-    ));
-    site.stop();
-    Some(done < jobs.len())
-}
-
 /// A controller loses the state service and the other controllers, and keeps its users.
 fn cut_node(root: &Path, record: Record, trouble: bool) -> Option<bool> {
     let plan = Plan::veloteka();
@@ -208,74 +196,111 @@
     Some(forgotten > 0 && 2 * answered_jobs > total)
 }
 
-/// Jobs that were submitted with a mistake fail on every machine, and are cancelled.
-fn mistakes(root: &Path, record: Record, trouble: bool) -> Option<bool> {
+/// How long a user's view of a job may lag behind, in seconds.
+const MAX_LAG_S: f64 = 3.0;
+
+/// Connections between the controllers are refused while services begin to run.
+fn refused_peers(root: &Path, record: Record, trouble: bool) -> Option<bool> {
     let plan = Plan::veloteka();
     let site = plan.start(root, record.clone())?;
-    let mut user = site.user(0);
-    // A replica on each machine, which leaves 7 CPUs there.
-    let mut shop = Job::array(100, "dealer-shop", "uebt", 6, 9.0, 15.0, 0.0);
-    (shop.standing, shop.urgency, shop.apart) = (true, "critical", true);
-    submit(&site, &mut user, &shop)?;
-    pause(3.0);
-    if site.fleet.free().iter().any(|(_, cpus, _)| *cpus > 7.5) {
-        record.say("the replicas are not on six machines");
-        return None;
-    }
     if trouble {
-        let jobs = (0..3)
-            .map(|number| Job::array(200 + number, "stock-recount", "ceni", 6, 1.0, 1.0, 0.2));
-        let jobs: Vec<Job> = jobs.map(|job| Job { fails: true, ..job }).collect();
-        for job in &jobs {
-            submit(&site, &mut user, job)?;
-        }
-        pause(6.0);
-        for job in &jobs {
-            user.abort(&job.id).then_some(())?;
-        }
-        record.say("the jobs with a mistake are cancelled");
+        record.say("connections between the controllers are refused");
+        site.nodes.refuse_peers(true);
     }
-    pause(2.0);
-    let jobs: Vec<Job> = (0..6)
-        .map(|number| Job::array(300 + number, "count", "sklad", 1, 6.0, 5.0, 300.0))
-        .collect();
-    for job in &jobs {
-        submit(&site, &mut user, job)?;
+    pause(1.0);
+    let mut jobs = Vec::new();
+    for number in 0..3 {
+        let mut job = Job::array(100 + number, "dealer-shop", "uebt", 2, 4.0, 15.0, 0.0);
+        (job.standing, job.urgency, job.apart) = (true, "critical", true);
+        submit(&site, &mut site.user(number as usize), &job)?;
+        jobs.push(job);
     }
-    let mut waited = vec![0.0_f64; jobs.len()];
+    let mut users: Vec<User> = (0..3).map(|node| site.user(node)).collect();
+    let (mut answers, mut wrong, mut longest) = (0, 0, vec![0.0_f64; 3]);
     let started_at = Instant::now();
-    while started_at.elapsed() < Duration::from_secs(94) {
-        pause(2.0);
-        let free = site.fleet.free();
-        let room = free
-            .iter()
-            .find(|(_, cpus, ram_gb)| *cpus >= 6.0 && *ram_gb >= 5.0);
-        for (job, waited) in jobs.iter().zip(&mut waited) {
-            let (_, starts, _) = site.fleet.tasks_of(&job.id);
-            if starts == 0
-                && let Some((machine, cpus, _)) = room
-            {
-                *waited = started_at.elapsed().as_secs_f64();
-                record.line(&format!(
-                    "{} waits for 6 CPUs, and {machine} has {cpus:.1} free",
-                    job.id
-                ));
-            }
+    while started_at.elapsed() < Duration::from_secs(50) {
+        if started_at.elapsed() > Duration::from_secs(28) {
+            site.nodes.refuse_peers(false);
         }
-        if waited.iter().all(|waited| *waited < 10.0)
-            && started_at.elapsed() > Duration::from_secs(15)
-        {
-            break;
+        for (node, user) in users.iter_mut().enumerate() {
+            for job in &jobs {
+                // For how long both replicas have run without a break, at the time of the question.
+                let ran_s = site.fleet.all_run_for(&job.id, job.tasks).unwrap_or(0.0);
+                let status = user.status(&job.id);
+                answers += usize::from(!status.is_empty());
+                if status == "pending" && ran_s > MAX_LAG_S {
+                    wrong += 1;
+                    longest[node] = longest[node].max(ran_s);
+                    record.line(&format!(
+                        "{}: {} is called pending; its replicas have run for {ran_s:.1} s",
+                        site.nodes.nodes[node].label, job.id
+                    ));
+                }
+            }
         }
+        pause(1.0);
     }
-    for (job, waited) in jobs.iter().zip(&waited) {
-        let status = user.status(&job.id);
-        record.say(&format!(
-            "{}: {status}; left waiting for {waited:.0} s while a machine had room",
-            job.id
-        ));
+    record.say(&format!(
+        "{wrong} of {answers} answers called a service pending whose replicas had run for over 3 s; the longest at each \
+         controller: {longest:.1?} s"
+    ));
+    site.stop();
+    Some(wrong > 0)
+}
+
+/// The cloud lists a second type some time after the controllers have started, and then the leader crashes.
+fn new_type(root: &Path, record: Record, trouble: bool) -> Option<bool> {
+    let mut plan = Plan::veloteka();
+    plan.types.push(MachineType {
+        name: "bighat32".into(),
+        cpus: 32.0,
+        ram_gb: 128.0,
+        pull_gb_per_s: 0.3,
+        gpus: 0.0,
+        hourly: 2.05,
+        ready_s: 25.0,
+        up_per_zone: 0,
+        available: 1,
+    });
+    plan.listed_types = Some(1);
+    let site = plan.start(root, record.clone())?;
+    let leader = site.leader()?;
+    let mut user = site.user(leader);
+    // A replica on each machine of the first type, which leaves 4 CPUs there.
+    let mut shop = Job::array(100, "dealer-shop", "uebt", 6, 12.0, 15.0, 0.0);
+    (shop.standing, shop.urgency, shop.apart) = (true, "critical", true);
+    submit(&site, &mut user, &shop)?;
+    // By then all controllers have the answers to what they asked of the cloud as they started.
+    pause(16.0);
+    record.say("the cloud lists a second type");
+    site.fleet.list_types(2);
+    // The leader asks for the types every 30 s.
+    pause(31.0);
+    let mut large = Job::array(200, "stock-recount", "ceni", 2, 4.0, 14.0, 300.0);
+    large.builds = Some(vec!["bighat32".into()]);
+    submit(&site, &mut user, &large)?;
+    pause(8.0);
+    if site.fleet.tasks_of(&large.id).0 != 2 {
+        record.say("the machine of the second type has no work");
+        return None;
+    }
+    if trouble {
+        record.say(&format!("{} crashes", site.nodes.nodes[leader].label));
+        site.nodes.kill(leader);
+        pause(5.0);
+        site.nodes.start(leader).ok()?;
     }
-    record.say(&format!("CPUs and memory free: {:?}", site.fleet.free()));
+    pause(5.0);
+    let mut small = Job::array(300, "stock-recount", "sklad", 1, 8.0, 14.0, 60.0);
+    small.builds = Some(vec!["rila16".into()]);
+    submit(&site, &mut site.user((leader + 1) % 3), &small)?;
+    pause(20.0);
+    let broken = site.fleet.broken();
+    record.say(&format!(
+        "{}: {:?} tasks on machines, starts, completed; {broken:?}",
+        small.id,
+        site.fleet.tasks_of(&small.id)
+    ));
     site.stop();
-    Some(waited.iter().any(|waited| *waited >= 90.0))
+    Some(broken.iter().any(|text| text.starts_with("wrong_place")))
 }
--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -1,5 +1,4 @@
-//! The cloud and its machines, whose workers report to the controllers and run tasks. All machines are up at the start,
-//! and the cloud has no others.
+//! The cloud and its machines, whose workers report to the controllers and run tasks.
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -18,17 +17,24 @@
 
 const REPORT_TIMEOUT: Duration = Duration::from_secs(4);
 const NEXT_NODE_DELAY: Duration = Duration::from_secs(1);
+/// As in the site files.
+const CLOUD_LATENCY: Duration = Duration::from_millis(100);
 const CHANGE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// The type of all machines.
+/// A type of machines.
 #[derive(Clone)]
 pub struct MachineType {
     pub name: String,
     pub cpus: f64,
     pub ram_gb: f64,
     pub pull_gb_per_s: f64,
-    /// Whether the cloud offers a further type, with GPUs, of which it has no machine available.
-    pub offers_gpus: bool,
+    pub gpus: f64,
+    pub hourly: f64,
+    pub ready_s: f64,
+    /// Machines that are up in each zone at the start.
+    pub up_per_zone: usize,
+    /// Machines that can be rented, in the first zone; they are up after a second or two.
+    pub available: usize,
 }
 
 /// How workers report, from the settings.
@@ -48,8 +54,8 @@
     pub size_gb: f64,
     /// How long a task runs; `None`: until it is stopped.
     pub run_s: Option<f64>,
-    /// It was submitted with a mistake: each task fails after its run.
-    pub fails: bool,
+    /// The allowed machine types; `None`: any.
+    pub builds: Option<Vec<String>>,
 }
 
 #[derive(Clone, Copy, PartialEq, Debug)]
@@ -67,13 +73,16 @@
     /// When it has its image, or when it completes.
     next_at: Option<Instant>,
     run: Option<Duration>,
-    fails: bool,
+    /// When it came into its state.
+    since: Instant,
 }
 
 /// What a machine is able to do at the moment.
 #[derive(Clone, Copy, PartialEq, Debug)]
 pub enum Power {
     On,
+    /// It can be rented.
+    Available,
     /// The machine stopped with all that was on it.
     Off,
 }
@@ -96,6 +105,7 @@
     pub name: String,
     pub zone: String,
     pub addr: SocketAddr,
+    machine_type: MachineType,
     worker: Mutex<Worker>,
 }
 
@@ -121,7 +131,11 @@
 /// The machines of the deployment.
 pub struct Fleet {
     pub machines: Vec<Machine>,
-    machine_type: MachineType,
+    types: Vec<MachineType>,
+    /// How many of the types the cloud lists.
+    listed_types: Mutex<usize>,
+    /// What was rented under each request's name.
+    hired: Mutex<HashMap<String, Vec<String>>>,
     times: WorkerTimes,
     jobs: Mutex<HashMap<String, Description>>,
     deleted: Mutex<BTreeSet<String>>,
@@ -136,42 +150,49 @@
 }
 
 impl Fleet {
-    /// Starts `per_zone` machines in each zone; their workers report to `nodes`.
+    /// Starts the machines of these types in all zones; their workers report to `nodes`.
     pub fn start(
-        machine_type: MachineType,
+        types: Vec<MachineType>,
         times: WorkerTimes,
         zones: &[String],
-        per_zone: usize,
         nodes: Vec<(String, SocketAddr)>,
         record: Record,
         log_tasks: bool,
     ) -> Arc<Fleet> {
         let mut machines = Vec::new();
         let mut listeners = Vec::new();
-        for number in 0..zones.len() * per_zone {
-            let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-            machines.push(Machine {
-                name: format!("vm-{:06}", number + 1),
-                zone: zones[number % zones.len()].clone(),
-                addr: listener.local_addr().expect("an address"),
-                worker: Mutex::new(Worker {
-                    tasks: BTreeMap::new(),
-                    kits: BTreeSet::new(),
-                    shift: 1,
-                    tick: 0,
-                    baton: 0,
-                    lease_from: Instant::now(),
-                    power: Power::On,
-                    changed: false,
-                    token_reported_at: None,
-                    connected_to: number,
-                }),
-            });
-            listeners.push(listener);
+        for machine_type in &types {
+            let up = (0..machine_type.up_per_zone).flat_map(|_| zones.iter());
+            let up = up.map(|zone| (zone, Power::On));
+            let available = (0..machine_type.available).map(|_| (&zones[0], Power::Available));
+            for (zone, power) in up.chain(available) {
+                let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+                machines.push(Machine {
+                    name: format!("vm-{:06}", machines.len() + 1),
+                    zone: zone.clone(),
+                    addr: listener.local_addr().expect("an address"),
+                    machine_type: machine_type.clone(),
+                    worker: Mutex::new(Worker {
+                        tasks: BTreeMap::new(),
+                        kits: BTreeSet::new(),
+                        shift: 1,
+                        tick: 0,
+                        baton: 0,
+                        lease_from: Instant::now(),
+                        power,
+                        changed: false,
+                        token_reported_at: None,
+                        connected_to: machines.len(),
+                    }),
+                });
+                listeners.push(listener);
+            }
         }
         let fleet = Arc::new(Fleet {
             machines,
-            machine_type,
+            listed_types: Mutex::new(types.len()),
+            types,
+            hired: Mutex::default(),
             times,
             jobs: Mutex::default(),
             deleted: Mutex::default(),
@@ -209,6 +230,7 @@
         let fleet = self.clone();
         let started_at = Instant::now();
         http::serve(listener, move |request| {
+            thread::sleep(CLOUD_LATENCY);
             let (status, body) = match (request.method.as_str(), request.path.as_str()) {
                 ("GET", "/machine_types") => (200, fleet.machine_types()),
                 ("GET", "/machines") => {
@@ -219,7 +241,7 @@
                         .unwrap_or(500);
                     (200, fleet.list(&after, limit, started_at))
                 }
-                ("POST", "/machines") => (503, map! {"error" => "no capacity"}),
+                ("POST", "/machines") => fleet.hire(&request.body),
                 ("POST", "/machines/delete") => {
                     for name in request.body.get("berths").list() {
                         fleet.stop_machine(name.text(), "deleted by the controllers");
@@ -238,38 +260,63 @@
         addr
     }
 
+    /// Lists only the first `count` types from now on.
+    pub fn list_types(&self, count: usize) {
+        *self.listed_types.lock().expect("no thread panics") = count;
+    }
+
     fn machine_types(&self) -> V {
-        let zones = self
-            .zones
-            .iter()
-            .map(|zone| V::from(zone.as_str()))
-            .collect();
-        let machine_type = map! {"sku" => self.machine_type.name.as_str(), "cpus" => self.machine_type.cpus,
-        "gpus" => 0.0, "ram_gb" => self.machine_type.ram_gb, "local_gb" => 70.0,
-        "pull_gb_per_s" => self.machine_type.pull_gb_per_s, "hourly" => 0.89, "spot_price" => 0.23, "ready_s" => 15.0,
-        "yards" => V::List(zones)};
-        let mut types = vec![machine_type];
-        if self.machine_type.offers_gpus {
-            types.push(map! {"sku" => "g8", "cpus" => 96.0, "gpus" => 8.0, "ram_gb" => 768.0, "local_gb" => 200.0,
-                "pull_gb_per_s" => 1.0, "hourly" => 12.0, "spot_price" => 4.5, "ready_s" => 45.0,
-                "yards" => types[0].get("yards").clone()});
+        let listed = *self.listed_types.lock().expect("no thread panics");
+        let types = self.types[..listed].iter().map(|machine_type| {
+            let zones = self.zones.iter().map(|zone| V::from(zone.as_str())).collect();
+            map! {"sku" => machine_type.name.as_str(), "cpus" => machine_type.cpus, "gpus" => machine_type.gpus,
+            "ram_gb" => machine_type.ram_gb, "local_gb" => 70.0, "pull_gb_per_s" => machine_type.pull_gb_per_s,
+            "hourly" => machine_type.hourly, "spot_price" => V::Null, "ready_s" => machine_type.ready_s,
+            "yards" => V::List(zones)}
+        });
+        map! {"builds" => V::List(types.collect())}
+    }
+
+    /// Rents machines, if there are any of that type in that zone.
+    fn hire(&self, request: &V) -> (u16, V) {
+        let name = request.get("hire").text().to_owned();
+        let mut hired = self.hired.lock().expect("no thread panics");
+        let names = hired.entry(name).or_default();
+        if names.is_empty() {
+            let count = request.get("count").int().unwrap_or(1) as usize;
+            for machine in &self.machines {
+                let fits = machine.machine_type.name == request.get("build").text()
+                    && machine.zone == request.get("yard").text()
+                    && *request.get("loaners") == V::Bool(false);
+                let mut worker = machine.lock();
+                if names.len() < count && fits && worker.power == Power::Available {
+                    worker.power = Power::On;
+                    worker.lease_from = Instant::now();
+                    self.record.line(&format!("{} is rented", machine.name));
+                    names.push(machine.name.clone());
+                }
+            }
+        }
+        if names.is_empty() {
+            return (503, map! {"error" => "no capacity"});
         }
-        map! {"builds" => V::List(types)}
+        let names = names.iter().map(|name| V::from(name.as_str()));
+        (200, map! {"berths" => V::List(names.collect())})
     }
 
     fn list(&self, after: &str, limit: usize, started_at: Instant) -> V {
         let deleted = self.deleted.lock().expect("no thread panics");
         let held_s = 300.0 + started_at.elapsed().as_secs_f64();
-        let listed = self
-            .machines
-            .iter()
-            .filter(|machine| machine.name.as_str() > after);
+        let listed = self.machines.iter().filter(|machine| {
+            machine.name.as_str() > after
+                && !deleted.contains(&machine.name)
+                && machine.lock().power != Power::Available
+        });
         let mut rows: Vec<V> = listed
-            .filter(|machine| !deleted.contains(&machine.name))
             .map(|machine| {
                 map! {"id" => machine.name.as_str(), "endpoint" => machine.addr.to_string(),
-                    "build" => self.machine_type.name.as_str(), "yard" => machine.zone.as_str(), "loaners" => false,
-                    "status" => "running", "held_s" => held_s}
+                "build" => machine.machine_type.name.as_str(), "yard" => machine.zone.as_str(), "loaners" => false,
+                "status" => "running", "held_s" => held_s}
             })
             .collect();
         let has_next = rows.len() > limit;
@@ -306,28 +353,23 @@
         )
     }
 
-    /// Of each machine: its name, and the CPUs and memory that its tasks leave free.
-    pub fn free(&self) -> Vec<(String, f64, f64)> {
-        let machines = self.machines.iter().map(|machine| {
+    /// For how many seconds all tasks of a job have run without a break; `None` if not all run.
+    pub fn all_run_for(&self, job: &str, tasks: u64) -> Option<f64> {
+        let mut shortest = f64::INFINITY;
+        let mut running = 0;
+        for machine in &self.machines {
             let worker = machine.lock();
-            let active = worker
-                .tasks
-                .values()
-                .filter(|task| !matches!(task.state, State::Ended(_)));
-            let start = (self.machine_type.cpus, self.machine_type.ram_gb);
-            let (cpus, ram_gb) = active.fold(start, |(cpus, ram_gb), task| {
-                (cpus - task.cpus, ram_gb - task.ram_gb)
-            });
-            if worker.power == Power::On {
-                (machine.name.clone(), cpus, ram_gb)
-            } else {
-                (machine.name.clone(), 0.0, 0.0)
+            for ((piece, _), task) in &worker.tasks {
+                if piece.split('/').next() == Some(job) && task.state == State::Running {
+                    running += 1;
+                    shortest = shortest.min(task.since.elapsed().as_secs_f64());
+                }
             }
-        });
-        machines.collect()
+        }
+        (running == tasks).then_some(shortest)
     }
 
-    /// What broke a rule on the machines: a task that was on two of them.
+    /// What broke a rule on the machines: a task that was on two of them, or on one of a type that its job doesn't allow.
     pub fn broken(&self) -> Vec<String> {
         self.broken.lock().expect("no thread panics").clone()
     }
@@ -364,6 +406,18 @@
         let entry = on.entry(piece.to_owned()).or_default();
         if event == "starts" {
             entry.1 += 1;
+            let jobs = self.jobs.lock().expect("no thread panics");
+            let job = piece.split('/').next().and_then(|job| jobs.get(job));
+            let builds = job.and_then(|job| job.builds.as_ref());
+            if builds.is_some_and(|builds| !builds.contains(&machine.machine_type.name)) {
+                let text = format!(
+                    "wrong_place: {piece} starts on {}, a {}; its job allows {builds:?}",
+                    machine.name, machine.machine_type.name
+                );
+                self.record.line(&text);
+                self.broken.lock().expect("no thread panics").push(text);
+            }
+            drop(jobs);
             if let Some(other) = entry.0.first() {
                 let text = format!(
                     "ran_twice: {piece} starts on {} while it is on {other}",
@@ -390,7 +444,7 @@
 
     /// Lets tasks begin and complete, and ends the session when the lease has expired.
     fn advance(&self, machine: &Machine, worker: &mut Worker) {
-        if worker.power == Power::Off {
+        if worker.power != Power::On {
             return;
         }
         let now = Instant::now();
@@ -415,18 +469,14 @@
             match task.state {
                 State::Pulling => {
                     worker.kits.insert(task.kit.clone());
-                    task.state = State::Running;
+                    (task.state, task.since) = (State::Running, now);
                     task.next_at = task.run.map(|run| now + run);
                     events.push((piece.clone(), *attempt, "starts"));
                 }
                 State::Running => {
-                    task.state = State::Ended(if task.fails { "error" } else { "done" });
+                    task.state = State::Ended("done");
                     task.next_at = None;
-                    events.push((
-                        piece.clone(),
-                        *attempt,
-                        if task.fails { "fails" } else { "completes" },
-                    ));
+                    events.push((piece.clone(), *attempt, "completes"));
                 }
                 State::Ended(_) => {}
             }
@@ -457,7 +507,7 @@
         });
         let tasks = tasks.collect();
         map! {"berth" => machine.name.as_str(), "endpoint" => machine.addr.to_string(),
-        "build" => self.machine_type.name.as_str(), "yard" => machine.zone.as_str(), "loaners" => false,
+        "build" => machine.machine_type.name.as_str(), "yard" => machine.zone.as_str(), "loaners" => false,
         "shift" => worker.shift, "tick" => worker.tick, "baton" => worker.baton, "recall_s" => V::Null,
         "pieces" => V::List(tasks)}
     }
@@ -482,7 +532,7 @@
             worker.changed = true;
             match order.get("verb").text() {
                 "start" if !worker.tasks.contains_key(&key) => {
-                    let task = self.new_task(worker, &piece);
+                    let task = self.new_task(machine, worker, &piece);
                     worker.tasks.insert(key, task);
                 }
                 "kill" => {
@@ -511,7 +561,7 @@
         }
     }
 
-    fn new_task(&self, worker: &Worker, piece: &str) -> Task {
+    fn new_task(&self, machine: &Machine, worker: &Worker, piece: &str) -> Task {
         let ended = |cause| Task {
             state: State::Ended(cause),
             cpus: 0.0,
@@ -519,7 +569,7 @@
             kit: String::new(),
             next_at: None,
             run: None,
-            fails: false,
+            since: Instant::now(),
         };
         let (job, index) = piece.split_once('/').unwrap_or((piece, ""));
         let jobs = self.jobs.lock().expect("no thread panics");
@@ -541,13 +591,13 @@
             cpus += task.cpus;
             ram_gb += task.ram_gb;
         }
-        if cpus > self.machine_type.cpus + 1e-6 || ram_gb > self.machine_type.ram_gb + 1e-6 {
+        if cpus > machine.machine_type.cpus + 1e-6 || ram_gb > machine.machine_type.ram_gb + 1e-6 {
             return ended("full");
         }
         let pull_s = if worker.kits.contains(&job.kit) {
             0.0
         } else {
-            job.size_gb / self.machine_type.pull_gb_per_s
+            job.size_gb / machine.machine_type.pull_gb_per_s
         };
         Task {
             state: State::Pulling,
@@ -556,14 +606,14 @@
             kit: job.kit.clone(),
             next_at: Some(Instant::now() + Duration::from_secs_f64(pull_s)),
             run: job.run_s.map(Duration::from_secs_f64),
-            fails: job.fails,
+            since: Instant::now(),
         }
     }
 
     fn answer_command(&self, index: usize, path: &str, body: &V) -> Answer {
         let machine = &self.machines[index];
         let mut worker = machine.lock();
-        if worker.power == Power::Off {
+        if worker.power != Power::On {
             drop(worker);
             return Answer::Never;
         }
@@ -601,6 +651,9 @@
             if worker.power == Power::Off {
                 return;
             }
+            if worker.power == Power::Available {
+                continue;
+            }
             let due = sent_at
                 + if worker.changed {
                     CHANGE_INTERVAL.min(interval)
--- a/review/standins-2/src/link.rs
+++ b/review/standins-2/src/link.rs
@@ -1,59 +1,101 @@
-//! A link of the network: a TCP relay that can be cut. While it is cut it holds everything back and takes no new
-//! connections any further; afterwards it delivers what it held.
+//! A link of the network: a TCP relay that can be cut or refuse connections. While it is cut it holds everything back and
+//! takes new connections no further; afterwards it delivers what it held. While it refuses, connections are reset and new
+//! ones refused.
 
 use std::{
     io::{Read, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicBool, Ordering},
     },
     thread,
     time::Duration,
 };
 
+const CHECK_INTERVAL: Duration = Duration::from_millis(5);
+
 /// A running relay.
 pub struct Link {
     pub addr: SocketAddr,
-    cut: Arc<AtomicBool>,
+    shared: Arc<Shared>,
+}
+
+#[derive(Default)]
+struct Shared {
+    cut: AtomicBool,
+    refuses: AtomicBool,
+    connections: Mutex<Vec<TcpStream>>,
 }
 
 impl Link {
-    /// Relays connections to `target`.
-    pub fn start(target: SocketAddr) -> Link {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let addr = listener.local_addr().expect("an address");
-        let cut = Arc::new(AtomicBool::new(false));
-        let shared = cut.clone();
+    /// Relays connections from `addr` to `target`.
+    pub fn start(addr: SocketAddr, target: SocketAddr) -> Link {
+        let shared = Arc::new(Shared::default());
+        let accepting = shared.clone();
+        let mut listener = Some(bind(addr));
         thread::spawn(move || {
-            for client in listener.incoming().flatten() {
-                let cut = shared.clone();
-                thread::spawn(move || relay(client, target, &cut));
+            loop {
+                if accepting.refuses.load(Ordering::SeqCst) {
+                    listener = None;
+                    for connection in accepting
+                        .connections
+                        .lock()
+                        .expect("no thread panics")
+                        .drain(..)
+                    {
+                        let _ = connection.shutdown(Shutdown::Both);
+                    }
+                } else if let Ok((client, _)) = listener.get_or_insert_with(|| bind(addr)).accept()
+                {
+                    let _ = client.set_nonblocking(false);
+                    let shared = accepting.clone();
+                    thread::spawn(move || relay(client, target, &shared));
+                    continue;
+                }
+                thread::sleep(CHECK_INTERVAL);
             }
         });
-        Link { addr, cut }
+        Link { addr, shared }
     }
 
     /// Cuts or restores the link.
     pub fn cut(&self, cut: bool) {
-        self.cut.store(cut, Ordering::SeqCst);
+        self.shared.cut.store(cut, Ordering::SeqCst);
     }
+
+    /// Refuses connections, or takes them again.
+    pub fn refuse(&self, refuse: bool) {
+        self.shared.refuses.store(refuse, Ordering::SeqCst);
+    }
+}
+
+fn bind(addr: SocketAddr) -> TcpListener {
+    let listener = TcpListener::bind(addr).expect("a free port");
+    listener.set_nonblocking(true).expect("a socket");
+    listener
 }
 
 fn wait(cut: &AtomicBool) {
     while cut.load(Ordering::SeqCst) {
-        thread::sleep(Duration::from_millis(5));
+        thread::sleep(CHECK_INTERVAL);
     }
 }
 
-fn relay(client: TcpStream, target: SocketAddr, cut: &Arc<AtomicBool>) -> Option<()> {
-    wait(cut);
+fn relay(client: TcpStream, target: SocketAddr, shared: &Arc<Shared>) -> Option<()> {
+    wait(&shared.cut);
     let server = TcpStream::connect(target).ok()?;
     let _ = (client.set_nodelay(true), server.set_nodelay(true));
     let (from_server, to_client) = (server.try_clone().ok()?, client.try_clone().ok()?);
-    let back = cut.clone();
-    thread::spawn(move || forward(from_server, to_client, &back));
-    forward(client, server, cut);
+    let own = [client.try_clone().ok()?, server.try_clone().ok()?];
+    shared
+        .connections
+        .lock()
+        .expect("no thread panics")
+        .extend(own);
+    let back = shared.clone();
+    thread::spawn(move || forward(from_server, to_client, &back.cut));
+    forward(client, server, &shared.cut);
     Some(())
 }
 
--- a/review/standins-2/src/nodes.rs
+++ b/review/standins-2/src/nodes.rs
@@ -35,7 +35,7 @@
 /// Addresses that were free a moment ago. Their ports lie below those that the system gives to connections: another
 /// connection can't take them before the controllers listen there.
 fn free_addrs(count: usize) -> Vec<SocketAddr> {
-    let first = 21_000 + std::process::id() as u16 % 400 * 10;
+    let first = 21_000 + std::process::id() as u16 % 150 * 25;
     let candidates = (first..25_900).map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
     let free = candidates.filter(|addr| TcpListener::bind(addr).is_ok());
     free.take(count).collect()
@@ -61,8 +61,12 @@
         state: &[SocketAddr],
         record: Record,
     ) -> Nodes {
-        let addrs = free_addrs(2 * zones.len());
-        let (listen, mesh) = addrs.split_at(zones.len());
+        let count = zones.len();
+        // Of each controller: where it listens, its own address for the others, and its links to them and to the
+        // state service.
+        let addrs = free_addrs(count * (3 + count));
+        let (listen, mesh) = (&addrs[..count], &addrs[count..2 * count]);
+        let (state_links, links) = (&addrs[2 * count..3 * count], &addrs[3 * count..]);
         let nodes = (0..zones.len()).map(|index| Node {
             label: format!("berth-{index}"),
             listen: listen[index],
@@ -73,14 +77,18 @@
         let links = (0..zones.len())
             .map(|from| {
                 (0..zones.len())
-                    .map(|to| (from != to).then(|| Link::start(mesh[to])))
+                    .map(|to| (from != to).then(|| Link::start(links[from * count + to], mesh[to])))
                     .collect()
             })
             .collect();
         let nodes = Nodes {
             nodes: nodes.collect(),
             links,
-            state_links: state.iter().map(|addr| Link::start(*addr)).collect(),
+            state_links: state_links
+                .iter()
+                .zip(state)
+                .map(|(addr, target)| Link::start(*addr, *target))
+                .collect(),
             command: run_command(root),
             root: root.to_owned(),
             record,
@@ -182,6 +190,13 @@
         }
     }
 
+    /// Refuses all connections between controllers, or takes them again.
+    pub fn refuse_peers(&self, refuse: bool) {
+        for link in self.links.iter().flatten().flatten() {
+            link.refuse(refuse);
+        }
+    }
+
     /// Ends a controller's process with no warning.
     pub fn kill(&self, index: usize) {
         let child = self.nodes[index]
--- a/review/standins-2/src/site.rs
+++ b/review/standins-2/src/site.rs
@@ -22,13 +22,12 @@
     /// The zone of each controller.
     pub controllers: Vec<String>,
     pub teams: Vec<(&'static str, f64, f64)>,
-    pub machine_type: MachineType,
-    pub machines_per_zone: usize,
+    pub types: Vec<MachineType>,
+    /// How many of the types the cloud lists at the start; `None`: all.
+    pub listed_types: Option<usize>,
     pub times: WorkerTimes,
     pub cancel_s: f64,
     pub limits: Limits,
-    /// The limits that the state service will have later.
-    pub next: Option<Limits>,
     pub mem_mb: f64,
     pub objectives: Vec<V>,
     pub log_tasks: bool,
@@ -54,32 +53,6 @@
 }
 
 impl Plan {
-    /// The deployment `pataka-reader`, with the larger machine of each of its two zones.
-    pub fn pataka() -> Plan {
-        let zones: Vec<String> = ["kolkata-1", "dhaka-1"].map(String::from).into();
-        Plan {
-            controllers: vec![zones[0].clone(), zones[1].clone(), zones[0].clone()],
-            zones,
-            teams: vec![("platform", 0.0, 0.0), ("ingest", 0.0, 0.0)],
-            machine_type: MachineType {
-                name: "bighat32".into(),
-                cpus: 32.0,
-                ram_gb: 128.0,
-                pull_gb_per_s: 0.3,
-                offers_gpus: false,
-            },
-            machines_per_zone: 1,
-            limits: Limits {
-                rps: 200.0,
-                write_rps: 80.0,
-                value_kb: 16.0,
-                txn_ops: 24,
-            },
-            mem_mb: 56.0,
-            ..Plan::veloteka()
-        }
-    }
-
     /// The deployment `veloteka-ops` with the six machines that it has at the start.
     pub fn veloteka() -> Plan {
         let zones: Vec<String> = ["sofia-a", "sofia-b", "frankfurt-c"]
@@ -93,14 +66,18 @@
                 ("ceni", 200.0, 672.0),
                 ("uebt", 112.0, 336.0),
             ],
-            machine_type: MachineType {
+            types: vec![MachineType {
                 name: "rila16".into(),
                 cpus: 16.0,
                 ram_gb: 64.0,
                 pull_gb_per_s: 0.3,
-                offers_gpus: false,
-            },
-            machines_per_zone: 2,
+                gpus: 0.0,
+                hourly: 0.89,
+                ready_s: 15.0,
+                up_per_zone: 2,
+                available: 0,
+            }],
+            listed_types: None,
             times: WorkerTimes {
                 report_s: 2.5,
                 lease_s: 14.0,
@@ -112,7 +89,6 @@
                 value_kb: 16.0,
                 txn_ops: 48,
             },
-            next: None,
             mem_mb: 104.0,
             objectives: Vec::new(),
             log_tasks: true,
@@ -123,10 +99,7 @@
         let teams = self.teams.iter().map(|(name, cpus, cpus_max)| {
             map! {"name" => *name, "cpus" => *cpus, "cpus_max" => *cpus_max, "gpus" => 0.0, "gpus_max" => 0.0}
         });
-        let mut state = limits_value(self.limits);
-        if let Some(next) = self.next {
-            state.push(("next".into(), V::Map(limits_value(next))));
-        }
+        let state = limits_value(self.limits);
         let zones = self
             .zones
             .iter()
@@ -148,14 +121,14 @@
         let store = Store::start(self.limits, self.controllers.len());
         let nodes = Nodes::new(root, &dir, &self.controllers, &store.addrs, record.clone());
         let fleet = Fleet::start(
-            self.machine_type.clone(),
+            self.types.clone(),
             self.times,
             &self.zones,
-            self.machines_per_zone,
             nodes.addrs(),
             record.clone(),
             self.log_tasks,
         );
+        fleet.list_types(self.listed_types.unwrap_or(self.types.len()));
         let cloud = fleet.start_cloud();
         nodes.write_settings(&self.controllers, cloud, &self.settings());
         for index in 0..self.controllers.len() {
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -20,6 +20,7 @@
 const MAX_ROWS: usize = 1000;
 const MAX_PAGE_BYTES: usize = 512 * 1024;
 const MAX_TXN_BYTES: usize = 64 * 1024;
+const LATENCY: Duration = Duration::from_millis(2);
 
 /// The limits of the service, as in the settings.
 #[derive(Clone, Copy)]
@@ -68,10 +69,6 @@
     last_lease: u64,
     requests: Bucket,
     writes: Bucket,
-    /// For each controller: whether every request of it gets a 503.
-    refused: Vec<bool>,
-    /// How long each controller's requests wait before they are carried out.
-    delay: Vec<Duration>,
     refusals: BTreeMap<String, u64>,
 }
 
@@ -107,8 +104,6 @@
                     tokens: limits.write_rps,
                     filled_at: now,
                 },
-                refused: vec![false; controllers],
-                delay: vec![Duration::from_millis(2); controllers],
                 refusals: BTreeMap::new(),
             })),
             changed: Arc::new(Condvar::new()),
@@ -117,9 +112,9 @@
                 .map(|listener| listener.local_addr().expect("an address"))
                 .collect(),
         };
-        for (controller, listener) in listeners.into_iter().enumerate() {
+        for listener in listeners {
             let store = store.clone();
-            http::serve(listener, move |request| store.answer(controller, &request));
+            http::serve(listener, move |request| store.answer(&request));
         }
         let sweeper = store.clone();
         std::thread::spawn(move || {
@@ -146,9 +141,6 @@
 
     fn end_leases(&self) {
         let mut data = self.data.lock().expect("no thread panics");
-        if data.refused.iter().all(|refused| *refused) {
-            return;
-        }
         let now = Instant::now();
         let ended: Vec<u64> = data
             .leases
@@ -162,13 +154,9 @@
         }
     }
 
-    fn answer(&self, controller: usize, request: &Request) -> Answer {
-        let delay = self.data.lock().expect("no thread panics").delay[controller];
-        std::thread::sleep(delay);
+    fn answer(&self, request: &Request) -> Answer {
+        std::thread::sleep(LATENCY);
         let mut data = self.data.lock().expect("no thread panics");
-        if data.refused[controller] {
-            return Answer::Reply(503, map! {"error" => "down"});
-        }
         let path = request.path.as_str();
         let writes = if path == "/txn" {
             request.body.get("then").list().len()
@@ -184,7 +172,7 @@
         }
         let (status, body) = match (request.method.as_str(), path) {
             ("GET", "/kv") => list(&data, request),
-            ("GET", "/changes") => return self.changes(data, controller, request),
+            ("GET", "/changes") => return self.changes(data, request),
             ("POST", "/txn") => {
                 let result = transact(&mut data, &request.body);
                 self.changed.notify_all();
@@ -225,12 +213,7 @@
         Answer::Reply(status, body)
     }
 
-    fn changes(
-        &self,
-        data: std::sync::MutexGuard<'_, Data>,
-        controller: usize,
-        request: &Request,
-    ) -> Answer {
+    fn changes(&self, data: std::sync::MutexGuard<'_, Data>, request: &Request) -> Answer {
         let number = |name| {
             request
                 .query(name)
@@ -242,31 +225,25 @@
         let deadline = Instant::now() + Duration::from_millis(hold_ms);
         let mut data = data;
         loop {
-            if !data.refused[controller] {
-                if after < data.dropped {
-                    return Answer::Reply(410, map! {"error" => "too old"});
-                }
-                let first = data.changes.partition_point(|(stamp, ..)| *stamp <= after);
-                let matching = data
-                    .changes
-                    .range(first..)
-                    .filter(|(_, key, _)| key.starts_with(&prefix));
-                let news: Vec<V> = matching
-                    .map(|(stamp, key, value)| match value {
-                        Some(value) => {
-                            map! {"set" => key.clone(), "v" => value.clone(), "stamp" => *stamp}
-                        }
-                        None => map! {"delete" => key.clone(), "stamp" => *stamp},
-                    })
-                    .collect();
-                if !news.is_empty() || Instant::now() >= deadline {
-                    return Answer::Reply(
-                        200,
-                        map! {"ledger" => data.ledger, "news" => V::List(news)},
-                    );
-                }
+            if after < data.dropped {
+                return Answer::Reply(410, map! {"error" => "too old"});
+            }
+            let first = data.changes.partition_point(|(stamp, ..)| *stamp <= after);
+            let matching = data
+                .changes
+                .range(first..)
+                .filter(|(_, key, _)| key.starts_with(&prefix));
+            let news: Vec<V> = matching
+                .map(|(stamp, key, value)| match value {
+                    Some(value) => {
+                        map! {"set" => key.clone(), "v" => value.clone(), "stamp" => *stamp}
+                    }
+                    None => map! {"delete" => key.clone(), "stamp" => *stamp},
+                })
+                .collect();
+            if !news.is_empty() || Instant::now() >= deadline {
+                return Answer::Reply(200, map! {"ledger" => data.ledger, "news" => V::List(news)});
             }
-            // An open watch stays open through an outage.
             let wait = deadline
                 .saturating_duration_since(Instant::now())
                 .max(Duration::from_millis(50));
--- a/review/standins-2/src/user.rs
+++ b/review/standins-2/src/user.rs
@@ -28,8 +28,7 @@
     pub run_s: f64,
     pub apart: bool,
     pub awaits: Vec<String>,
-    /// It was submitted with a mistake and fails on every machine.
-    pub fails: bool,
+    pub builds: Option<Vec<String>>,
 }
 
 impl Job {
@@ -56,16 +55,19 @@
             run_s,
             apart: false,
             awaits: Vec::new(),
-            fails: false,
+            builds: None,
         }
     }
 
     pub fn message(&self) -> V {
         let awaits = self.awaits.iter().map(|id| V::from(id.as_str())).collect();
+        let builds = self.builds.as_ref().map_or(V::Null, |builds| {
+            V::List(builds.iter().map(|name| V::from(name.as_str())).collect())
+        });
         let mut message = map! {"id" => self.id.as_str(), "lane" => self.class.as_str(), "crew" => self.team.as_str(),
         "shape" => if self.standing { "standing" } else { "array" }, "urgency" => self.urgency,
         "pieces" => self.tasks, "cpus" => self.cpus, "gpus" => 0.0, "ram_gb" => self.ram_gb,
-        "kit" => format!("img-{}", self.class), "size_gb" => self.size_gb, "builds" => V::Null, "yard" => V::Null,
+        "kit" => format!("img-{}", self.class), "size_gb" => self.size_gb, "builds" => builds, "yard" => V::Null,
         "together" => false, "apart" => self.apart, "loaners" => false,
         "guess_s" => if self.standing { 0.0 } else { self.run_s }, "bookmark_s" => 0.0, "stash_s" => 0.0,
         "due_s" => V::Null};
@@ -86,7 +88,7 @@
                 kit: format!("img-{}", self.class),
                 size_gb: self.size_gb,
                 run_s: (!self.standing).then_some(self.run_s),
-                fails: self.fails,
+                builds: self.builds.clone(),
             },
         );
     }
@@ -157,22 +159,4 @@
             .map(|response| response.body.get("status").text().to_owned())
             .unwrap_or_default()
     }
-
-    /// Cancels a job; whether that was confirmed.
-    pub fn abort(&mut self, id: &str) -> bool {
-        for _ in 0..30 {
-            let response = self.connection.call(
-                "POST",
-                &format!("/v2/runs/{id}/abort"),
-                None,
-                SUBMIT_TIMEOUT,
-            );
-            self.note("abort", id, &response);
-            if response.is_some_and(|response| response.status == 200) {
-                return true;
-            }
-            std::thread::sleep(Duration::from_secs(1));
-        }
-        false
-    }
 }
