A new leader does not call inherited tasks pending before a worker has reported

What callers saw: for one to three seconds after a change of leader, and longer where workers report rarely, the new leader and then the other nodes answered "pending" for services and arrays that ran all the time.

Cause: the same as for followers with old announcements: missing evidence was taken for "no task runs". A leader counts the tasks that workers have reported to it; those that it inherits from its predecessor's log are not among them until then, and it announced the jobs as idle.

Change: a job of which no task is known to run, but of which an attempt was inherited or was started on a machine that no longer reports, has an unknown status. Each answer of each simulated history is checked now: no job is called pending with a task that a leader was told of more than 3 s before.

Why it works: an inherited attempt loses its mark with the first report that lists it, and disappears with one that rules it out, so the status is unknown exactly as long as nobody has told this leader.

--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -22,6 +22,7 @@
 mod submission;
 mod task;
 mod team;
+mod unreported;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -121,7 +121,7 @@
             job: id,
             done: job.done_count,
             running: job.running_count,
-            may_run_unreported: false,
+            may_run_unreported: job.running_count == 0 && cluster.may_run_unreported(index),
         })
     }
 
--- a/src/coordination/leader/progress.rs
+++ b/src/coordination/leader/progress.rs
@@ -152,13 +152,14 @@
 
 /// The unfinished jobs with done tasks, or with tasks that run or may run, in the order of their ids.
 fn jobs_in_progress(cluster: &ClusterState) -> Vec<JobProgress> {
+    let unreported = cluster.jobs_that_may_run_unreported();
     let jobs = cluster.jobs_by_id.iter().map(|(id, index)| {
         let job = cluster.job(*index);
         let progress = JobProgress {
             job: *id,
             done: job.done_count,
             running: job.running_count,
-            may_run_unreported: false,
+            may_run_unreported: unreported.contains(index),
         };
         (job.closed, progress)
     });
--- a/tests/histories/job_status.rs
+++ b/tests/histories/job_status.rs
@@ -154,3 +154,60 @@
         );
     }
 }
+
+/// Guards against a leader that calls running jobs pending because no worker has reported to it yet, and
+/// followers that repeat it.
+#[test]
+fn running_jobs_are_not_called_pending_after_a_takeover() {
+    for seed in [0, 8, 10, 16] {
+        let mut cluster = small_fleet(seed);
+        cluster.checks_unreported_tasks = true;
+        cluster.run_until(8000);
+        let spec = cluster.long_array(1, 4);
+        cluster.submit(spec);
+        let leader = cluster.leader.expect("a node leads");
+        cluster.submit_service_at(leader, 2);
+        cluster.run_until(14_000);
+        for round in 1..4 {
+            let leader = cluster.leader.expect("a node leads");
+            cluster.stop_process(leader, 5000);
+            let end = cluster.now + 2 * cluster.timings.lease_ttl_ms;
+            let running_before = cluster.running_answers;
+            while cluster.now < end {
+                for id in [JobId(1), JobId(2)] {
+                    for node in 0..NODE_COUNT {
+                        cluster.send_request_to(node, id, ApiRequest::Poll(id));
+                        let spec = Box::new(cluster.jobs[&id].0.clone());
+                        cluster.send_request_to(node, id, ApiRequest::Submit(spec));
+                    }
+                }
+                cluster.run_until(cluster.now + 100);
+            }
+            assert!(
+                cluster.running_answers > running_before,
+                "seed {seed}, round {round}: no answer"
+            );
+        }
+    }
+}
+
+/// Guards against a machine whose reports no longer arrive: a task that was about to start there runs unseen.
+#[test]
+fn job_on_a_silent_machine_is_not_called_pending() {
+    for seed in [0, 8, 10, 16] {
+        for offset_ms in (0..3000).step_by(250) {
+            let mut cluster = small_fleet(seed);
+            cluster.checks_unreported_tasks = true;
+            cluster.run_until(8000);
+            let leader = cluster.leader.expect("a node leads");
+            cluster.submit_service_at(leader, 1);
+            cluster.run_until(8000 + offset_ms);
+            let until = cluster.now + FAULT_MS;
+            for worker in &mut cluster.workers {
+                worker.drops_outbound_until = until;
+            }
+            let end = cluster.now + cluster.timings.lease_ttl_ms;
+            cluster.poll_at_all_nodes(JobId(1), end);
+        }
+    }
+}
--- a/tests/histories/users.rs
+++ b/tests/histories/users.rs
@@ -124,7 +124,7 @@
             JobStatus::Running => self.running_answers += 1,
             JobStatus::Done | JobStatus::Cancelled => {}
         }
-        if job_view.status == JobStatus::Pending && self.checks_unreported_tasks {
+        if job_view.status == JobStatus::Pending {
             self.assert_no_task_runs(id, view_before.sent_at);
         }
         let (spec, user_view) = self
