Relays for an unknown status fail apart from those for the state service

With the leader out of reach, a failed relay because of an unknown status held up for a second all relays of a node that the state service refuses, and users were told that the state service does not answer. A job whose status was refused counted as accepted.

A submission counts as accepted where its status is answered. A job that waits for dependencies is pending by the registry alone. A test holds that a late announcement counts from its sending for the leader's liveness and for reservations.

--- a/src/coordination/admission/controller.rs
+++ b/src/coordination/admission/controller.rs
@@ -475,6 +475,14 @@
             .collect()
     }
 
+    /// When the reservation of a job falls due, if it has one.
+    #[cfg(test)]
+    pub fn reservation_due_at(&self, job: JobId) -> Option<Millis> {
+        self.reservations
+            .get(&job)
+            .map(|reservation| reservation.due_at)
+    }
+
     /// Adds reservations that other members gave: job, class, and milliseconds from `now`.
     pub fn add_remote_reservations(
         &mut self,
--- a/src/coordination/admission/mod.rs
+++ b/src/coordination/admission/mod.rs
@@ -166,6 +166,12 @@
         self.controller.add_remote_reservations(&remaining, now);
     }
 
+    /// When the reservation of a job falls due, if it has one.
+    #[cfg(test)]
+    pub(super) fn reservation_due_at(&self, job: JobId) -> Option<Millis> {
+        self.controller.reservation_due_at(job)
+    }
+
     /// When the last status of a member arrived.
     pub(super) fn last_status_at(&self, label: &str) -> Option<Millis> {
         self.member_statuses.get(label).map(|(at, _)| *at)
--- a/src/coordination/job_progress/tests.rs
+++ b/src/coordination/job_progress/tests.rs
@@ -1,5 +1,8 @@
 use super::*;
-use crate::storage::ProgressEntry;
+use crate::{
+    coordination::{ClockReading, Command, WorkloadClassName},
+    storage::ProgressEntry,
+};
 
 /// The time of day when a test begins, in milliseconds since the epoch.
 const START_MS: u64 = 1_700_000_000_000;
@@ -162,3 +165,48 @@
         }
     }
 }
+
+fn follower() -> Node {
+    let config = serde_json::json!({
+        "label": "n1", "domain": "a", "listen": "127.0.0.1:1", "mesh_addr": "127.0.0.1:2",
+        "members": [{"label": "n0", "domain": "b", "address": "127.0.0.1:5"}],
+        "services": {"cloud": "127.0.0.1:3", "state": "127.0.0.1:4"},
+        "settings": {
+            "zones": ["a"], "teams": [{"name": "red"}], "clock_error_ms": 100.0,
+            "workers": {"report_s": 2.5, "lease_s": 14.0, "cancel_s": 34.0},
+            "state": {"rps": 100.0, "write_rps": 50.0, "value_kb": 16.0, "txn_ops": 24},
+            "cloud": {"rps": 3.0}
+        }
+    });
+    Node::new(serde_json::from_value(config).expect("valid settings"))
+}
+
+/// Guards against a late announcement whose leader counts as alive, and whose reservations fall due later than
+/// their users were told.
+#[test]
+fn late_announcement_counts_from_its_sending_for_liveness_and_reservations() {
+    const SENT_AFTER_MS: u64 = 10_000;
+    for delay_ms in [0, 4000] {
+        let mut node = follower();
+        let class = WorkloadClassName {
+            team: "red".into(),
+            class: "any".into(),
+        };
+        let mut message = announcement(1, SENT_AFTER_MS, Vec::new());
+        message.reservations = vec![(JobId(1), class.clone(), 3000), (JobId(2), class, 9000)];
+        let now = ClockReading {
+            monotonic_ms: SENT_AFTER_MS + delay_ms,
+            wall_ms: START_MS + SENT_AFTER_MS + delay_ms,
+        };
+        node.step([Command::LeaderAnnounced(message)], now);
+        assert_eq!(
+            node.lease_renewer.leader_announced_at,
+            Some(SENT_AFTER_MS),
+            "{delay_ms} ms late"
+        );
+        let due_at = |job| node.admission.reservation_due_at(JobId(job));
+        let is_over = delay_ms > 3000;
+        assert_eq!(due_at(1), (!is_over).then_some(SENT_AFTER_MS + 3000));
+        assert_eq!(due_at(2), Some(SENT_AFTER_MS + 9000));
+    }
+}
--- a/src/coordination/user_requests/job_status.rs
+++ b/src/coordination/user_requests/job_status.rs
@@ -11,9 +11,6 @@
     },
 };
 
-/// Why a status is refused.
-const STATUS_UNKNOWN: &str = "whether the job runs is not known now";
-
 impl Node {
     /// Answers a request with `code` and the job's status. If whether the job runs is not known here, the
     /// leader is to answer; if it can't be reached, or is this node, the request is refused.
@@ -23,25 +20,24 @@
         code: u16,
         pending: PendingRequest,
     ) {
-        if let Some(view) = self.job_view(pending.job_id()) {
+        let job = pending.job_id();
+        if let Some(view) = self.job_view(job) {
+            self.admission.on_accepted(job, true, self.now);
             return self.respond(id, ApiResponse::json(code, &view));
         }
         self.unknown_status_count += 1;
-        if self.current_other_leader().is_none() {
-            return self.respond(id, ApiResponse::unavailable(STATUS_UNKNOWN, 1));
-        }
         self.pending_requests.insert(id, pending);
-        self.relay_or_refuse(id);
+        self.relay_to_leader_or_refuse(id);
     }
 
     /// The state of a job as its user gets it; `None` if whether a task of it runs is not known.
     pub(super) fn job_view(&self, id: JobId) -> Option<JobView> {
         let entry = self.registry.get(id);
         let final_status = entry.and_then(RegisteredJob::final_status);
-        let progress = self
-            .current_progress(id)
-            .or_else(|| final_status.is_some().then(|| JobProgress::none(id)))
-            .or_else(|| self.is_newly_accepted(id).then(|| JobProgress::none(id)))?;
+        let progress = self.current_progress(id).or_else(|| {
+            let needs_no_progress = final_status.is_some() || self.is_certainly_pending(id);
+            needs_no_progress.then(|| JobProgress::none(id))
+        })?;
         let status = final_status.unwrap_or(if progress.running > 0 {
             JobStatus::Running
         } else {
@@ -68,11 +64,12 @@
             .filter(is_known)
     }
 
-    /// Whether the job was accepted so recently that no task of it can have run for longer than users may
-    /// not see it.
-    fn is_newly_accepted(&self, id: JobId) -> bool {
+    /// Whether the registry alone shows that no task of an unfinished job can have run for longer than users may
+    /// not see it: it waits for dependencies, or was accepted too recently.
+    fn is_certainly_pending(&self, id: JobId) -> bool {
         self.registry.live_job(id).is_some_and(|job| {
-            job_progress::is_newly_accepted(job.submitted_at_ms, self.time_of_day())
+            job.dependencies_left > 0
+                || job_progress::is_newly_accepted(job.submitted_at_ms, self.time_of_day())
         })
     }
 }
--- a/src/coordination/user_requests/mod.rs
+++ b/src/coordination/user_requests/mod.rs
@@ -50,10 +50,6 @@
     }
 }
 
-fn state_service_unavailable() -> ApiResponse {
-    ApiResponse::unavailable("the state service does not answer", 1)
-}
-
 impl Node {
     /// Answers a request.
     pub(super) fn respond(&mut self, id: RequestId, response: ApiResponse) {
@@ -170,7 +166,6 @@
             )
             | (Some(RegisteredJob::CancelledByDependency(_) | RegisteredJob::Ended(..)), pending) =>
             {
-                self.admission.on_accepted(job, true, self.now);
                 self.respond_with_status(id, 200, pending);
             }
             (Some(RegisteredJob::Live(live)), PendingRequest::Cancel { id: job, attempts }) => {
--- a/src/coordination/user_requests/submission.rs
+++ b/src/coordination/user_requests/submission.rs
@@ -108,7 +108,6 @@
             return;
         };
         let job = submission.id;
-        self.admission.on_accepted(job, true, self.now);
         tracing::info!(%job, kind = ?submission.kind, class = submission.class, team = submission.team,
             tasks = submission.tasks, cpus = submission.cpus, gpus = submission.gpus,
             estimate_s = submission.estimate_s, awaits = ?submission.dependencies, due_s = submission.deadline_s,
