Inherited tasks on machines that reach nobody count as running after a grace period

Change: once workers have had the time to find the new leader (takeover_grace), an inherited attempt that is still unreported counts as running, as each task on a machine that no longer reports does until its lease has expired.

--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -39,6 +39,7 @@
     submission::InheritedUrgency,
     task::{Task, TaskRange, TaskStatus},
     team::{QueueKey, Team},
+    unreported::UnreportedAttempts,
 };
 use crate::{
     config::Settings,
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -17,7 +17,7 @@
 
 use super::{quota::CellQuotas, takeover::RecoveredState, workers::RenewerRevocations};
 use crate::{
-    cluster::{ClusterState, InheritedUrgency},
+    cluster::{ClusterState, InheritedUrgency, UnreportedAttempts},
     coordination::{
         JobProgress, job_graph::CancellationWrites, leader_log::LeaderLog,
         provisioning::Provisioning, reachability::WorkerReachability,
@@ -30,7 +30,7 @@
 use cycle::SchedulingTimers;
 use fencing::Fence;
 use lease::LeaderLease;
-use progress::ProgressPublication;
+use progress::{ProgressPublication, job_progress};
 
 /// The state of a leader. A node creates it when it becomes the leader and drops it when it steps down.
 pub struct LeaderState {
@@ -111,18 +111,18 @@
     }
 
     /// The progress of a job; `None` until the cluster state has been rebuilt after the takeover.
-    pub fn job_progress(&self, id: JobId) -> Option<JobProgress> {
+    pub fn job_progress(&self, id: JobId, now: Millis) -> Option<JobProgress> {
         let cluster = self.cluster.as_ref()?;
         let Some(&index) = cluster.jobs_by_id.get(&id) else {
             return Some(JobProgress::none(id));
         };
         let job = cluster.job(index);
-        Some(JobProgress {
-            job: id,
-            done: job.done_count,
-            running: job.running_count,
-            may_run_unreported: job.running_count == 0 && cluster.may_run_unreported(index),
-        })
+        let unreported = if job.running_count > 0 {
+            UnreportedAttempts::default()
+        } else {
+            cluster.unreported_attempts(index, now)
+        };
+        Some(job_progress(job, unreported))
     }
 
     /// The condition under which every write of this leader is made: it still holds `shared/leader`.
--- a/src/coordination/leader/progress.rs
+++ b/src/coordination/leader/progress.rs
@@ -2,7 +2,7 @@
 //! members' connections and, while a member does not answer them, a record in the state service.
 
 use crate::{
-    cluster::{ClusterState, MachineState},
+    cluster::{ClusterState, Job, MachineState, UnreportedAttempts},
     coordination::{
         Effect, JobProgress, LeaderAnnouncement, Node, StateTag,
         write_outcome::{TXN_TIMEOUT_MS, WriteOutcome},
@@ -56,7 +56,7 @@
                 "leader log"
             );
         }
-        let jobs = jobs_in_progress(cluster);
+        let jobs = jobs_in_progress(cluster, self.now);
         let term = leader.term;
         if led_at == self.now {
             self.store_progress_for_silent_members(&jobs);
@@ -150,21 +150,26 @@
     }
 }
 
+/// The progress of a job, given its attempts that may be running although no report says so.
+pub(super) fn job_progress(job: &Job, unreported: UnreportedAttempts) -> JobProgress {
+    JobProgress {
+        job: job.id,
+        done: job.done_count,
+        running: job.running_count + unreported.assumed_running,
+        may_run_unreported: unreported.any_unknown,
+    }
+}
+
 /// The unfinished jobs with done tasks, or with tasks that run or may run, in the order of their ids.
-fn jobs_in_progress(cluster: &ClusterState) -> Vec<JobProgress> {
-    let unreported = cluster.jobs_that_may_run_unreported();
-    let jobs = cluster.jobs_by_id.iter().map(|(id, index)| {
+fn jobs_in_progress(cluster: &ClusterState, now: Millis) -> Vec<JobProgress> {
+    let unreported = cluster.unreported_attempts_by_job(now);
+    let open_jobs = cluster.jobs_by_id.values().filter_map(|index| {
         let job = cluster.job(*index);
-        let progress = JobProgress {
-            job: *id,
-            done: job.done_count,
-            running: job.running_count,
-            may_run_unreported: unreported.contains(index),
-        };
-        (job.closed, progress)
+        let unreported = unreported.get(index).copied().unwrap_or_default();
+        (!job.closed).then(|| job_progress(job, unreported))
     });
-    jobs.filter(|(is_closed, progress)| !is_closed && *progress != JobProgress::none(progress.job))
-        .map(|(_, progress)| progress)
+    open_jobs
+        .filter(|progress| *progress != JobProgress::none(progress.job))
         .collect()
 }
 
--- a/src/coordination/user_requests/job_status.rs
+++ b/src/coordination/user_requests/job_status.rs
@@ -55,7 +55,7 @@
     /// recently. `None` if that does not tell whether a task of the job runs.
     fn current_progress(&self, id: JobId) -> Option<JobProgress> {
         let leader = self.leader_state.as_ref();
-        let by_cluster = leader.and_then(|leader| leader.job_progress(id));
+        let by_cluster = leader.and_then(|leader| leader.job_progress(id, self.now));
         let by_leader = || self.received_progress.get(id, self.time_of_day());
         let is_known = |progress: &JobProgress| progress.is_running().is_some();
         by_cluster
--- a/tests/histories/job_status.rs
+++ b/tests/histories/job_status.rs
@@ -211,3 +211,39 @@
         }
     }
 }
+
+/// Guards against jobs about which no question is answered, as each of several leaders in a row waits for reports of
+/// machines that reach nobody.
+#[test]
+fn job_on_unreachable_machines_is_answered_while_leaders_change() {
+    /// Less than the 90 s after which a job counts as forgotten.
+    const MAX_UNANSWERED_MS: u64 = 60_000;
+    // Deployments in which a lease lasts longer than workers take to find a new leader.
+    for seed in [8, 13, 15] {
+        let mut cluster = small_fleet(seed);
+        cluster.run_until(8000);
+        let leader = cluster.leader.expect("a node leads");
+        cluster.submit_service_at(leader, 1);
+        cluster.run_until(20_000);
+        assert_eq!(cluster.running().len(), 2, "seed {seed}");
+        for worker in &mut cluster.workers {
+            worker.unreachable_until = FOREVER_MS;
+        }
+        let mut answered_at = cluster.now;
+        let mut max_unanswered_ms = 0;
+        for _ in 0..5 {
+            let leader = cluster.leader.expect("a node leads");
+            cluster.stop_process(leader, 1000);
+            let end = cluster.now + cluster.timings.lease_ttl_ms;
+            while cluster.now < end {
+                cluster.poll_at_all_nodes(JobId(1), cluster.now + 1);
+                answered_at = answered_at.max(cluster.jobs[&JobId(1)].1.last_response_at);
+                max_unanswered_ms = max_unanswered_ms.max(cluster.now - answered_at);
+            }
+        }
+        assert!(
+            max_unanswered_ms < MAX_UNANSWERED_MS,
+            "seed {seed}: no answer for {max_unanswered_ms} ms"
+        );
+    }
+}
